Thin whole path: control, entry, agent, stand-ins and command line as separate processes

Ruled out: a control program with a single copy of its state as a first step; the quorum log is there from the start, because every later part leans on its guarantees. Change: kernel, document, protocol, http, replication, routing, control, entry, agent, cli and stand-in modules; launchers; bin/demo starts 13 processes, applies two documents, streams a completion and sends one order twice through two entries. Conclusion: the path is whole; nothing on it is proved under failure yet.

--- /dev/null
+++ b/agent/src/main/java/org/bamboohatch/agent/driver/PlainDriver.java
@@ -0,0 +1,80 @@
+package org.bamboohatch.agent.driver;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.bamboohatch.protocol.message.AgentRequest.Dispatch;
+import org.bamboohatch.protocol.message.ControlReply.PlacementOrder;
+import org.eclipse.jetty.client.BufferingResponseListener;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Result;
+
+/** Speaks with plain HTTP services. */
+public final class PlainDriver implements TargetDriver {
+
+    /** The largest answer, in bytes. */
+    private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+
+    /** Used by the service loader. */
+    public PlainDriver() {}
+
+    @Override
+    public String name() {
+        return "plain";
+    }
+
+    @Override
+    public Target connect(HttpClient client, String targetUrl) {
+        return new ForService(new HttpCalls(client, targetUrl));
+    }
+
+    /** A plain service. */
+    private static final class ForService implements Target {
+
+        /** The HTTP calls. */
+        private final HttpCalls calls;
+
+        /**
+         * Creates a target.
+         *
+         * @param calls the HTTP calls
+         */
+        ForService(HttpCalls calls) {
+            this.calls = calls;
+        }
+
+        @Override
+        public void run(Dispatch dispatch, RunListener listener) {
+            calls.request(dispatch).send(new BufferingResponseListener(MAX_ANSWER_BYTES) {
+                @Override
+                public void onComplete(Result result) {
+                    if (result.isFailed()) {
+                        listener.onFailure(
+                                HttpCalls.mayHaveStarted(result),
+                                "service connection failed: "
+                                        + result.getFailure().getMessage());
+                        return;
+                    }
+                    listener.onData(getContent(), 0);
+                    String type = getMediaType() == null ? "application/octet-stream" : getMediaType();
+                    listener.onEnd(result.getResponse().getStatus(), type, "");
+                }
+            });
+        }
+
+        @Override
+        public void cancel(String id) {
+            // A plain service cannot be told to end a call.
+        }
+
+        @Override
+        public CompletableFuture<TargetState> state() {
+            return calls.get("/healthz").thenApply(alive -> new TargetState(List.of(), 0, List.of()));
+        }
+
+        @Override
+        public CompletableFuture<Void> order(PlacementOrder order, long fence) {
+            return CompletableFuture.completedFuture(null);
+        }
+    }
+}
--- /dev/null
+++ b/bin/lib/installation.sh
@@ -0,0 +1,131 @@
+# Functions that start a whole installation on loopback addresses; sourced by demo, measure and prove.
+# Every process is started here and ended here by its process id.
+
+home=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
+run=${BAMBOOHATCH_RUN:-$home/run/$$}
+mkdir -p "$run"
+declare -A pids=()
+control_addresses="127.0.0.11:7000,127.0.0.12:7000,127.0.0.13:7000"
+control_list="[127.0.0.11:7000, 127.0.0.12:7000, 127.0.0.13:7000]"
+export BAMBOOHATCH_CONTROL=$control_addresses
+
+# Prints a line about what goes on.
+say() { printf '%s %s\n' "$(date +%H:%M:%S)" "$*"; }
+
+# Starts a program in the background: name, then the command line.
+launch() {
+  local name=$1
+  shift
+  "$@" >>"$run/$name.log" 2>&1 &
+  pids[$name]=$!
+}
+
+# Ends a process started here: name, signal.
+end() {
+  local pid=${pids[$1]:-}
+  if [ -n "$pid" ]; then
+    kill -"${2:-TERM}" "$pid" 2>/dev/null || true
+    wait "$pid" 2>/dev/null || true
+    unset "pids[$1]"
+  fi
+}
+
+# Sends a signal to a process started here: name, signal.
+signal() { kill -"$2" "${pids[$1]}"; }
+
+# Ends every process started here.
+end_all() {
+  local name
+  for name in "${!pids[@]}"; do kill -CONT "${pids[$name]}" 2>/dev/null || true; kill -KILL "${pids[$name]}" 2>/dev/null || true; done
+  for name in "${!pids[@]}"; do wait "${pids[$name]}" 2>/dev/null || true; done
+}
+trap end_all EXIT
+
+zone_of() { local zones=(none a b c); echo "zone-${zones[$((($1 - 1) % 3 + 1))]}"; }
+
+# Writes the settings of a control process: number.
+control_settings() {
+  cat >"$run/control-$1.yaml" <<YAML
+host: control-$1
+zone: $(zone_of "$1")
+listen: 127.0.0.1$1:7000
+dataFolder: $run/data-$1
+peers: $control_list
+snapshotEntries: ${BAMBOOHATCH_SNAPSHOT:-10000}
+YAML
+}
+
+start_control() { control_settings "$1"; launch "control-$1" "$home/bin/bamboohatch-control" --settings "$run/control-$1.yaml"; }
+
+# Starts an entry: number, policy, control addresses.
+start_entry() {
+  cat >"$run/entry-$1.yaml" <<YAML
+host: entry-$1
+zone: $(zone_of "$1")
+http: 127.0.0.2$1:8080
+listen: 127.0.0.2$1:7100
+control: ${3:-$control_list}
+policy: ${2:-fair-predicted}
+seed: 1
+YAML
+  launch "entry-$1" "$home/bin/bamboohatch-entry" --settings "$run/entry-$1.yaml"
+}
+
+# Starts a stand-in engine: number, further settings.
+start_engine() {
+  printf 'listen: 127.0.0.4%s:9000\nmodels: [glass@1]\n%s\n' "$1" "${2:-}" >"$run/engine-$1.yaml"
+  launch "engine-$1" "$home/bin/bamboohatch-standin" engine --settings "$run/engine-$1.yaml"
+}
+
+# Starts a stand-in plain service: number, delay in milliseconds.
+start_plain() {
+  printf 'listen: 127.0.0.5%s:9000\ndelayMillis: %s\n' "$1" "${2:-5}" >"$run/plain-$1.yaml"
+  launch "plain-$1" "$home/bin/bamboohatch-standin" plain --settings "$run/plain-$1.yaml"
+}
+
+# Starts the agent of an engine: number, memory in tokens.
+start_engine_agent() {
+  cat >"$run/agent-$1.yaml" <<YAML
+host: engine-host-$1
+zone: $(zone_of "$1")
+listen: 127.0.0.6$1:7200
+target: engine-$1
+service: assistant
+driver: completions
+targetUrl: http://127.0.0.4$1:9000
+control: $control_list
+memoryTokens: ${2:-400000}
+YAML
+  launch "agent-$1" "$home/bin/bamboohatch-agent" --settings "$run/agent-$1.yaml"
+}
+
+# Starts the agent of a plain service: number.
+start_plain_agent() {
+  cat >"$run/plain-agent-$1.yaml" <<YAML
+host: plain-host-$1
+zone: $(zone_of "$1")
+listen: 127.0.0.7$1:7200
+target: plain-$1
+service: portal
+driver: plain
+targetUrl: http://127.0.0.5$1:9000
+control: ${2:-$control_list}
+memoryTokens: 0
+YAML
+  launch "plain-agent-$1" "$home/bin/bamboohatch-agent" --settings "$run/plain-agent-$1.yaml"
+}
+
+# Waits until a command succeeds: seconds, then the command line.
+await() {
+  local deadline=$(($(date +%s) + $1))
+  shift
+  until "$@" >/dev/null 2>&1; do
+    if [ "$(date +%s)" -ge "$deadline" ]; then
+      say "timed out: $*" >&2
+      return 1
+    fi
+    sleep 0.1
+  done
+}
+
+ready() { curl -sf -m 1 "http://$1:8080/readyz" >/dev/null; }
--- /dev/null
+++ b/cli/src/main/java/org/bamboohatch/cli/command/Apply.java
@@ -0,0 +1,117 @@
+package org.bamboohatch.cli.command;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+
+import org.bamboohatch.cli.Context;
+import org.bamboohatch.cli.ExitStatus;
+import org.bamboohatch.kernel.id.ServiceName;
+import org.bamboohatch.protocol.message.ControlReply;
+import org.bamboohatch.protocol.message.ControlReply.Applied;
+import org.bamboohatch.protocol.message.ControlReply.Conflict;
+import org.bamboohatch.protocol.message.ControlReply.Documents;
+import org.bamboohatch.protocol.message.ControlReply.InForce;
+import org.bamboohatch.protocol.message.ControlRequest.ApplyDocument;
+import org.bamboohatch.protocol.message.ControlRequest.AwaitInForce;
+import org.bamboohatch.protocol.message.ControlRequest.GetDocument;
+import org.bamboohatch.protocol.message.DocumentVersion;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+
+/** Applies a document and waits until it is in force in every availability zone. */
+public final class Apply implements Command {
+
+    /** Nanoseconds in a second. */
+    private static final long NANOS_PER_SECOND = 1_000_000_000;
+
+    /** The file. */
+    @Argument(metaVar = "FILE", required = true, usage = "document to apply")
+    private Path file;
+
+    /** The revision that the change was made from. */
+    @Option(
+            name = "--base",
+            metaVar = "REVISION",
+            usage = "revision that the change was made from; default: the latest")
+    private Long base;
+
+    /** Names the change. */
+    @Option(name = "--change-id", metaVar = "ID", usage = "names the change; a resend with the same id is harmless")
+    private String changeId = UUID.randomUUID().toString();
+
+    /** Time to wait. */
+    @Option(name = "--wait", metaVar = "SECONDS", usage = "time to wait until the change is in force; default: 16")
+    private int waitSeconds = 16;
+
+    /** Used by the command line parser. */
+    public Apply() {}
+
+    @Override
+    public ExitStatus run(Context context) {
+        Optional<DocumentFile> read = DocumentFile.read(file, context);
+        if (read.isEmpty()) {
+            return ExitStatus.INVALID;
+        }
+        ServiceName service = read.get().document().service();
+        long from = base == null ? latest(context, service) : base;
+        ControlReply reply = context.ask(
+                new ApplyDocument(changeId, service, from, read.get().text()));
+        if (reply instanceof Applied applied) {
+            context.tell(service + ": revision " + applied.revision() + " is committed");
+            return await(context, service, applied.revision());
+        }
+        if (reply instanceof Conflict conflict) {
+            context.tell(service + ": conflict: change " + conflict.changeId() + " made revision " + conflict.revision()
+                    + " first, this one was made from " + from);
+            return ExitStatus.CONFLICT;
+        }
+        if (reply instanceof ControlReply.Invalid invalid) {
+            invalid.errors().forEach(context::tell);
+            return ExitStatus.INVALID;
+        }
+        context.tell("send it again with --change-id " + changeId + " --base " + from);
+        return context.unreachable(reply);
+    }
+
+    /**
+     * Asks for the latest revision of a document.
+     *
+     * @param context what every command has at hand
+     * @param service the service
+     * @return the revision, zero if there is none
+     */
+    private static long latest(Context context, ServiceName service) {
+        if (context.ask(new GetDocument(service, 0)) instanceof Documents documents) {
+            List<DocumentVersion> versions = documents.versions();
+            return versions.isEmpty() ? 0 : versions.get(versions.size() - 1).revision();
+        }
+        return 0;
+    }
+
+    /**
+     * Waits until a revision is in force.
+     *
+     * @param context what every command has at hand
+     * @param service the service
+     * @param revision the revision
+     * @return the exit status
+     */
+    private ExitStatus await(Context context, ServiceName service, long revision) {
+        long deadline = System.nanoTime() + waitSeconds * NANOS_PER_SECOND;
+        String pending = "not known";
+        while (System.nanoTime() < deadline) {
+            ControlReply reply = context.ask(new AwaitInForce(revision));
+            if (reply instanceof InForce inForce) {
+                if (inForce.pendingZones().isEmpty()) {
+                    context.tell(service + ": revision " + revision + " is in force in every availability zone");
+                    return ExitStatus.DONE;
+                }
+                pending = inForce.pendingZones().toString();
+            }
+        }
+        context.tell(service + ": revision " + revision + " is pending in availability zones " + pending);
+        return ExitStatus.PENDING;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/bamboohatch/cli/command/Status.java
@@ -0,0 +1,44 @@
+package org.bamboohatch.cli.command;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.bamboohatch.cli.Context;
+import org.bamboohatch.cli.ExitStatus;
+import org.bamboohatch.protocol.message.ControlReply;
+
+/** Shows the control processes, the services and the zones that lag behind. */
+public final class Status implements Command {
+
+    /** Used by the command line parser. */
+    public Status() {}
+
+    @Override
+    public ExitStatus run(Context context) {
+        List<Map<String, Object>> rows = new ArrayList<>();
+        for (ControlReply.Status status : context.statuses()) {
+            Map<String, Object> row = new LinkedHashMap<>();
+            row.put("host", status.host());
+            row.put("role", status.role());
+            row.put("term", status.term());
+            row.put("committed", status.commitIndex());
+            row.put("applied", status.appliedIndex());
+            row.put("voters", status.voters());
+            row.put("learners", status.learners());
+            row.put(
+                    "services",
+                    status.services().stream()
+                            .map(service -> service.service() + "@" + service.revision())
+                            .toList());
+            row.put("targets", status.targets().size());
+            row.put("runs", status.runs());
+            row.put("pending", status.pendingZones());
+            rows.add(row);
+        }
+        context.print(rows);
+        boolean led = rows.stream().anyMatch(row -> row.get("role").equals("LEADER"));
+        return led ? ExitStatus.DONE : ExitStatus.UNREACHABLE;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/bamboohatch/cli/command/VerifyData.java
@@ -0,0 +1,47 @@
+package org.bamboohatch.cli.command;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.bamboohatch.cli.Context;
+import org.bamboohatch.cli.ExitStatus;
+import org.bamboohatch.kernel.id.HostName;
+import org.bamboohatch.replication.storage.FolderDisk;
+import org.bamboohatch.replication.storage.LogStore;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+
+/** Checks the data folder of a stopped control process. */
+public final class VerifyData implements Command {
+
+    /** The folder. */
+    @Argument(metaVar = "FOLDER", required = true, usage = "data folder to check")
+    private Path folder;
+
+    /** The host. */
+    @Option(name = "--host", metaVar = "HOST", required = true, usage = "host that the folder belongs to")
+    private String host;
+
+    /** Used by the command line parser. */
+    public VerifyData() {}
+
+    @Override
+    public ExitStatus run(Context context) {
+        try (FolderDisk disk = new FolderDisk(folder)) {
+            LogStore.Loaded loaded = new LogStore(disk).load(new HostName(host));
+            Map<String, Object> row = new LinkedHashMap<>();
+            row.put("replica", loaded.identity().replica().value());
+            row.put("term", loaded.state().term());
+            row.put("snapshot", loaded.snapshot().index());
+            row.put("entries", loaded.entries().size());
+            context.print(List.of(row));
+            return ExitStatus.DONE;
+        } catch (IOException damaged) {
+            context.tell(damaged.getMessage());
+            return ExitStatus.INVALID;
+        }
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/bamboohatch/control/server/HolderAnswers.java
@@ -0,0 +1,130 @@
+package org.bamboohatch.control.server;
+
+import java.util.List;
+
+import org.bamboohatch.control.membership.TargetRegistry;
+import org.bamboohatch.control.state.ControlMachine;
+import org.bamboohatch.protocol.message.ControlReply;
+import org.bamboohatch.protocol.message.ControlRequest.Announce;
+import org.bamboohatch.protocol.message.ControlRequest.GetDocument;
+import org.bamboohatch.protocol.message.ControlRequest.Poll;
+import org.bamboohatch.protocol.message.DocumentVersion;
+
+/** Makes the answers to the processes that hold configuration. */
+final class HolderAnswers {
+
+    /** The state machine. */
+    private final ControlMachine machine;
+
+    /**
+     * Creates the answers.
+     *
+     * @param machine the state machine
+     */
+    HolderAnswers(ControlMachine machine) {
+        this.machine = machine;
+    }
+
+    /**
+     * Tells whether a poll has something to tell.
+     *
+     * @param poll the poll
+     * @param leader what the leader keeps
+     * @param now the present time, in milliseconds
+     * @return whether a document or the membership changed
+     */
+    boolean hasNews(Poll poll, LeaderState leader, long now) {
+        if (machine.documents().lastRevision() > poll.appliedRevision()) {
+            return true;
+        }
+        TargetRegistry.Changes changes = leader.targets().changesSince(poll.epoch(), poll.version());
+        boolean behind = poll.epoch() != changes.epoch() || changes.version() > poll.version();
+        return tellsMembership(poll, leader, now) && behind;
+    }
+
+    /**
+     * Tells whether the membership may be told to a holder; a holder with an older copy keeps it until this
+     * leader's registry is complete.
+     *
+     * @param poll the poll
+     * @param leader what the leader keeps
+     * @param now the present time, in milliseconds
+     * @return whether the membership is told
+     */
+    private static boolean tellsMembership(Poll poll, LeaderState leader, long now) {
+        return poll.epoch() == leader.targets().epoch() || leader.targets().isComplete(now);
+    }
+
+    /**
+     * Answers a poll.
+     *
+     * @param poll the poll
+     * @param leader what the leader keeps
+     * @param now the present time, in milliseconds
+     * @return what changed
+     */
+    ControlReply changes(Poll poll, LeaderState leader, long now) {
+        List<DocumentVersion> documents = machine.documents().changedSince(poll.appliedRevision());
+        long revision = machine.documents().lastRevision();
+        long time = leader.ledgerTime(now);
+        int entries = leader.holders().entries();
+        if (!tellsMembership(poll, leader, now)) {
+            boolean first = poll.epoch() == 0;
+            TargetRegistry.Changes partial = leader.targets().changesSince(0, 0);
+            return new ControlReply.Changes(
+                    revision,
+                    documents,
+                    poll.epoch(),
+                    poll.version(),
+                    first ? partial.joined() : List.of(),
+                    List.of(),
+                    time,
+                    entries);
+        }
+        TargetRegistry.Changes changes = leader.targets().changesSince(poll.epoch(), poll.version());
+        return new ControlReply.Changes(
+                revision,
+                documents,
+                changes.epoch(),
+                changes.version(),
+                changes.joined(),
+                changes.departed(),
+                time,
+                entries);
+    }
+
+    /**
+     * Answers an announcement.
+     *
+     * @param announce the announcement
+     * @param leader what the leader keeps
+     * @return the lease
+     */
+    ControlReply announced(Announce announce, LeaderState leader) {
+        DocumentVersion document = machine.documents()
+                .latest(announce.announcement().service())
+                .filter(version -> version.revision() > announce.appliedRevision())
+                .orElse(null);
+        return new ControlReply.Announced(
+                machine.documents().lastRevision(),
+                document,
+                leader.term(),
+                leader.orders(announce.announcement().target()));
+    }
+
+    /**
+     * Answers a question for a document.
+     *
+     * @param get the question
+     * @return the revisions
+     */
+    ControlReply documents(GetDocument get) {
+        List<DocumentVersion> history = machine.documents().history(get.service());
+        if (get.revision() == 0) {
+            return new ControlReply.Documents(history);
+        }
+        return new ControlReply.Documents(history.stream()
+                .filter(version -> version.revision() == get.revision())
+                .toList());
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/bamboohatch/control/state/ControlMachine.java
@@ -0,0 +1,122 @@
+package org.bamboohatch.control.state;
+
+import java.io.IOException;
+import java.util.List;
+
+import org.bamboohatch.kernel.service.Invariant;
+import org.bamboohatch.protocol.message.ControlReply;
+import org.bamboohatch.protocol.message.ControlRequest.AbandonRun;
+import org.bamboohatch.protocol.message.ControlRequest.ApplyDocument;
+import org.bamboohatch.protocol.message.ControlRequest.BeginRun;
+import org.bamboohatch.protocol.message.ControlRequest.FinishRun;
+import org.bamboohatch.protocol.message.Message;
+import org.bamboohatch.protocol.message.MessageCodec;
+import org.bamboohatch.replication.StateMachine;
+
+/** Everything that the log carries: service documents and the ledger of runs. */
+public final class ControlMachine implements StateMachine {
+
+    /** The service documents. */
+    private final DocumentsMachine documents = new DocumentsMachine();
+
+    /** The ledger of runs. */
+    private final LedgerMachine ledger = new LedgerMachine();
+
+    /** Creates an empty machine. */
+    public ControlMachine() {}
+
+    /**
+     * The whole state in a snapshot.
+     *
+     * @param documents the documents
+     * @param ledger the ledger
+     */
+    private record State(DocumentsMachine.State documents, LedgerMachine.State ledger) {}
+
+    /**
+     * Encodes a command.
+     *
+     * @param command the command
+     * @return its bytes
+     */
+    public static byte[] encode(Command command) {
+        return MessageCodec.instance().encode(command);
+    }
+
+    @Override
+    public Object apply(long index, byte[] encoded) {
+        Command command = decode(encoded, Command.class);
+        ledger.advance(command.time());
+        return decide(command.request());
+    }
+
+    /**
+     * Decides a request.
+     *
+     * @param request the request
+     * @return the reply, or null if there is none
+     */
+    private ControlReply decide(Message request) {
+        if (request instanceof ApplyDocument apply) {
+            return documents.apply(apply);
+        } else if (request instanceof BeginRun begin) {
+            return ledger.begin(begin);
+        } else if (request instanceof AbandonRun abandon) {
+            return ledger.abandon(abandon);
+        } else if (request instanceof FinishRun finish) {
+            return ledger.finish(finish);
+        } else if (request instanceof Command.Evict evict) {
+            ledger.evict(evict.before());
+            return null;
+        }
+        throw new Invariant.Broken("the log carries an unknown command " + request.getClass());
+    }
+
+    @Override
+    public byte[] snapshot() {
+        return MessageCodec.instance().encode(new State(documents.state(), ledger.state()));
+    }
+
+    @Override
+    public void restore(byte[] state) {
+        State decoded = state.length == 0
+                ? new State(new DocumentsMachine.State(0, List.of(), List.of()), new LedgerMachine.State(0, List.of()))
+                : decode(state, State.class);
+        documents.restore(decoded.documents());
+        ledger.restore(decoded.ledger());
+    }
+
+    /**
+     * Returns the service documents.
+     *
+     * @return the documents
+     */
+    public DocumentsMachine documents() {
+        return documents;
+    }
+
+    /**
+     * Returns the ledger of runs.
+     *
+     * @return the ledger
+     */
+    public LedgerMachine ledger() {
+        return ledger;
+    }
+
+    /**
+     * Decodes what this program has encoded.
+     *
+     * @param bytes the bytes
+     * @param type the type
+     * @param <T> the type
+     * @return the value
+     */
+    private static <T> T decode(byte[] bytes, Class<T> type) {
+        try {
+            return MessageCodec.instance().decode(bytes, type);
+        } catch (IOException malformed) {
+            throw new Invariant.Broken("the log carries malformed data: " + malformed.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/bamboohatch/protocol/message/MessageCodec.java
@@ -0,0 +1,97 @@
+package org.bamboohatch.protocol.message;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.jsontype.NamedType;
+import org.bamboohatch.kernel.plugin.Plugins;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+/** Encodes and decodes messages as MessagePack. */
+public final class MessageCodec {
+
+    /** The codec of every registered message type. */
+    private static final MessageCodec INSTANCE = new MessageCodec();
+
+    /** Maps records to MessagePack. */
+    private final ObjectMapper mapper;
+
+    /** Creates the codec with every registered message type. */
+    private MessageCodec() {
+        mapper = new ObjectMapper(new MessagePackFactory().setReuseResourceInGenerator(false));
+        mapper.configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
+        mapper.setSerializationInclusion(JsonInclude.Include.NON_NULL);
+        Plugins<MessageCatalog> catalogs = Plugins.load(MessageCatalog.class);
+        for (String name : catalogs.names()) {
+            for (Class<? extends Message> type :
+                    catalogs.find(name).orElseThrow().types()) {
+                mapper.registerSubtypes(new NamedType(type, type.getSimpleName()));
+            }
+        }
+    }
+
+    /**
+     * Returns the codec.
+     *
+     * @return the codec
+     */
+    public static MessageCodec instance() {
+        return INSTANCE;
+    }
+
+    /**
+     * Encodes a value.
+     *
+     * @param value the value
+     * @return its bytes
+     */
+    public byte[] encode(Object value) {
+        try {
+            return mapper.writeValueAsBytes(value);
+        } catch (JsonProcessingException impossible) {
+            throw new IllegalStateException(impossible);
+        }
+    }
+
+    /**
+     * Encodes a value to a stream.
+     *
+     * @param value the value
+     * @param stream receives the bytes
+     * @throws IOException if the stream fails
+     */
+    public void encode(Object value, OutputStream stream) throws IOException {
+        mapper.writeValue(stream, value);
+    }
+
+    /**
+     * Decodes a value.
+     *
+     * @param bytes the bytes
+     * @param type the type of the value
+     * @param <T> the type of the value
+     * @return the value
+     * @throws IOException if the bytes are malformed
+     */
+    public <T> T decode(byte[] bytes, Class<T> type) throws IOException {
+        return mapper.readValue(bytes, type);
+    }
+
+    /**
+     * Decodes a value from a stream.
+     *
+     * @param stream the stream
+     * @param type the type of the value
+     * @param <T> the type of the value
+     * @return the value
+     * @throws IOException if the bytes are malformed
+     */
+    public <T> T decode(InputStream stream, Class<T> type) throws IOException {
+        return mapper.readValue(stream, type);
+    }
+}
--- /dev/null
+++ b/replication/src/main/java/org/bamboohatch/replication/consensus/ConsensusCore.java
@@ -0,0 +1,500 @@
+package org.bamboohatch.replication.consensus;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import org.bamboohatch.kernel.id.ReplicaId;
+import org.bamboohatch.kernel.service.Invariant;
+import org.bamboohatch.replication.message.EntryKind;
+import org.bamboohatch.replication.message.LogEntry;
+import org.bamboohatch.replication.message.Membership;
+import org.bamboohatch.replication.message.ReplicaMessage;
+import org.bamboohatch.replication.message.ReplicaMessage.AppendReply;
+import org.bamboohatch.replication.message.ReplicaMessage.AppendRequest;
+import org.bamboohatch.replication.message.ReplicaMessage.JoinRequest;
+import org.bamboohatch.replication.message.ReplicaMessage.SnapshotRequest;
+import org.bamboohatch.replication.message.ReplicaMessage.VoteReply;
+import org.bamboohatch.replication.message.ReplicaMessage.VoteRequest;
+import org.bamboohatch.replication.message.Snapshot;
+
+/**
+ * One replica's part in the consensus, without threads, clocks, sockets or files. Each step takes the present time
+ * in milliseconds of the replica's own monotonic clock; {@link #drain} returns what is to be done because of it.
+ */
+public final class ConsensusCore {
+
+    /** Identity of this replica. */
+    private final ReplicaId self;
+
+    /** The times of the consensus. */
+    private final Timing timing;
+
+    /** Draws election timeouts. */
+    private final RandomGenerator random;
+
+    /** The log. */
+    private final ReplicaLog log;
+
+    /** Time of the start; no vote is given until an election timeout later. */
+    private final long startedAt;
+
+    /** The latest term seen. */
+    private long term;
+
+    /** The candidate voted for in that term, or null. */
+    private ReplicaId vote;
+
+    /** The present role. */
+    private Role role = Role.FOLLOWER;
+
+    /** The leader of the term, or null. */
+    private ReplicaId leader;
+
+    /** Time of the leader's last message. */
+    private long lastLeaderContact = Long.MIN_VALUE / 2;
+
+    /** Time at which this replica stands for election. */
+    private long electionDeadline;
+
+    /** Votes won in the present election. */
+    private final Set<ReplicaId> votes = new HashSet<>();
+
+    /** What this replica does as a leader, or null. */
+    private Leadership leadership;
+
+    /**
+     * Creates a replica from its durable state.
+     *
+     * @param self identity of this replica
+     * @param timing the times of the consensus
+     * @param random draws election timeouts
+     * @param state the election state
+     * @param snapshot the last snapshot
+     * @param entries the stored entries
+     * @param now the present time
+     */
+    public ConsensusCore(
+            ReplicaId self,
+            Timing timing,
+            RandomGenerator random,
+            HardState state,
+            Snapshot snapshot,
+            List<LogEntry> entries,
+            long now) {
+        this.self = self;
+        this.timing = timing;
+        this.random = random;
+        this.term = state.term();
+        this.vote = state.vote();
+        this.log = new ReplicaLog(new MemoryLog(snapshot, entries));
+        this.startedAt = now;
+        resetElection(now);
+    }
+
+    /**
+     * Lets time pass.
+     *
+     * @param now the present time
+     */
+    public void tick(long now) {
+        if (role == Role.LEADER) {
+            if (leadership.hasLostQuorum(now)) {
+                follow(term, null, now);
+            } else {
+                leadership.tick(now);
+            }
+        } else if (now >= electionDeadline) {
+            if (membership().isVoter(self)) {
+                campaign(true, now);
+            } else {
+                resetElection(now);
+            }
+        }
+    }
+
+    /**
+     * Takes a message.
+     *
+     * @param message the message
+     * @param now the present time
+     */
+    public void receive(ReplicaMessage message, long now) {
+        if (message instanceof VoteRequest request) {
+            answerVote(request, now);
+        } else if (message instanceof VoteReply reply) {
+            countVote(reply, now);
+        } else if (message instanceof AppendRequest request) {
+            answerAppend(request, now);
+        } else if (message instanceof SnapshotRequest request) {
+            answerSnapshot(request, now);
+        } else if (message instanceof AppendReply reply) {
+            takeAppendReply(reply, now);
+        } else if (message instanceof JoinRequest request && role == Role.LEADER) {
+            leadership.join(request.member(), request.replaces(), now);
+        }
+    }
+
+    /**
+     * Proposes a command; only the leader can.
+     *
+     * @param command the command
+     * @param now the present time
+     * @return the index at which it will be committed unless leadership changes, or nothing if this is not the leader
+     */
+    public OptionalLong propose(byte[] command, long now) {
+        if (role != Role.LEADER) {
+            return OptionalLong.empty();
+        }
+        LogEntry entry = log.appendOwn(term, EntryKind.COMMAND, command);
+        leadership.replicate(now);
+        return OptionalLong.of(entry.index());
+    }
+
+    /**
+     * Takes note that everything drained so far is durable.
+     *
+     * @param index the last durable index
+     * @param now the present time
+     */
+    public void persisted(long index, long now) {
+        if (role == Role.LEADER) {
+            leadership.persisted(index, now);
+        }
+    }
+
+    /**
+     * Takes what is to be done because of the steps since the last call.
+     *
+     * @return the effects
+     */
+    public Effects drain() {
+        return log.drain();
+    }
+
+    /**
+     * Takes the next committed entry for the state machine.
+     *
+     * @return the entry, if there is one
+     */
+    public Optional<LogEntry> nextCommitted() {
+        return log.nextCommitted();
+    }
+
+    /**
+     * Replaces the applied part of the log by a snapshot.
+     *
+     * @param state the state of the state machine after the last applied entry
+     * @param retained entries to keep for slow followers
+     * @return the snapshot to make durable
+     */
+    public Snapshot compact(byte[] state, int retained) {
+        return log.compact(state, retained);
+    }
+
+    /**
+     * Tells whether this replica may answer reads from its applied state.
+     *
+     * @param now the present time
+     * @return whether no other replica can have been elected
+     */
+    public boolean mayRead(long now) {
+        return role == Role.LEADER && leadership.holdsLease(now) && log.appliedIndex() >= leadership.firstIndex();
+    }
+
+    /**
+     * Returns the index of the first entry held in memory.
+     *
+     * @return the index
+     */
+    public long firstIndex() {
+        return log.entries().firstIndex();
+    }
+
+    /**
+     * Returns the index of the last entry.
+     *
+     * @return the index
+     */
+    public long lastIndex() {
+        return log.entries().lastIndex();
+    }
+
+    /**
+     * Returns the index of the last committed entry.
+     *
+     * @return the index
+     */
+    public long commitIndex() {
+        return log.commitIndex();
+    }
+
+    /**
+     * Returns the index of the last applied entry.
+     *
+     * @return the index
+     */
+    public long appliedIndex() {
+        return log.appliedIndex();
+    }
+
+    /**
+     * Returns the last snapshot.
+     *
+     * @return the snapshot
+     */
+    public Snapshot snapshot() {
+        return log.entries().snapshot();
+    }
+
+    /**
+     * Returns the latest term seen.
+     *
+     * @return the term
+     */
+    public long term() {
+        return term;
+    }
+
+    /**
+     * Returns the present role.
+     *
+     * @return the role
+     */
+    public Role role() {
+        return role;
+    }
+
+    /**
+     * Returns the leader of the term.
+     *
+     * @return the leader, if it is known
+     */
+    public Optional<ReplicaId> leader() {
+        return Optional.ofNullable(leader);
+    }
+
+    /**
+     * Returns the membership in force.
+     *
+     * @return the membership
+     */
+    public Membership membership() {
+        return log.membership();
+    }
+
+    /**
+     * Gives up leadership.
+     *
+     * @param now the present time
+     */
+    void abdicate(long now) {
+        follow(term, null, now);
+    }
+
+    /**
+     * Draws a new time at which to stand for election.
+     *
+     * @param now the present time
+     */
+    private void resetElection(long now) {
+        electionDeadline = now + random.nextLong(timing.electionMinimum(), timing.electionMaximum());
+    }
+
+    /**
+     * Becomes a follower.
+     *
+     * @param newTerm the term, not before the present one
+     * @param newLeader the leader, or null
+     * @param now the present time
+     */
+    private void follow(long newTerm, ReplicaId newLeader, long now) {
+        Invariant.check(newTerm >= term, () -> "term goes back from " + term + " to " + newTerm);
+        if (newTerm > term) {
+            term = newTerm;
+            vote = null;
+            log.effects().remember(new HardState(term, null));
+        }
+        role = Role.FOLLOWER;
+        leader = newLeader;
+        leadership = null;
+        resetElection(now);
+    }
+
+    /**
+     * Stands for election.
+     *
+     * @param preliminary whether to ask first if the election could be won
+     * @param now the present time
+     */
+    private void campaign(boolean preliminary, long now) {
+        role = preliminary ? Role.PRE_CANDIDATE : Role.CANDIDATE;
+        leader = null;
+        votes.clear();
+        votes.add(self);
+        if (!preliminary) {
+            term++;
+            vote = self;
+            log.effects().remember(new HardState(term, vote));
+        }
+        resetElection(now);
+        long wanted = preliminary ? term + 1 : term;
+        membership().voters().stream()
+                .filter(member -> !member.replica().equals(self))
+                .forEach(member -> log.effects()
+                        .sendLate(
+                                member.replica(),
+                                new VoteRequest(
+                                        self,
+                                        wanted,
+                                        preliminary,
+                                        log.entries().lastIndex(),
+                                        log.entries().lastTerm())));
+        tally(now);
+    }
+
+    /**
+     * Answers a candidate.
+     *
+     * @param request the request
+     * @param now the present time
+     */
+    private void answerVote(VoteRequest request, long now) {
+        boolean leaderLives = role == Role.LEADER || now - lastLeaderContact < timing.electionMinimum();
+        boolean justStarted = now - startedAt < timing.electionMinimum();
+        if (leaderLives || justStarted || request.term() < term || !membership().isVoter(self)) {
+            reply(request, false);
+            return;
+        }
+        if (!request.preliminary() && request.term() > term) {
+            follow(request.term(), null, now);
+        }
+        boolean upToDate = request.lastTerm() > log.entries().lastTerm()
+                || request.lastTerm() == log.entries().lastTerm()
+                        && request.lastIndex() >= log.entries().lastIndex();
+        boolean free = request.preliminary() ? request.term() > term : vote == null || vote.equals(request.from());
+        boolean granted = upToDate && free;
+        if (granted && !request.preliminary()) {
+            vote = request.from();
+            log.effects().remember(new HardState(term, vote));
+            resetElection(now);
+        }
+        reply(request, granted);
+    }
+
+    /**
+     * Sends the answer to a candidate.
+     *
+     * @param request the request
+     * @param granted whether the vote is given
+     */
+    private void reply(VoteRequest request, boolean granted) {
+        log.effects()
+                .sendLate(request.from(), new VoteReply(self, request.term(), term, request.preliminary(), granted));
+    }
+
+    /**
+     * Counts a vote.
+     *
+     * @param reply the reply
+     * @param now the present time
+     */
+    private void countVote(VoteReply reply, long now) {
+        if (reply.currentTerm() > term) {
+            follow(reply.currentTerm(), null, now);
+            return;
+        }
+        boolean awaited = reply.preliminary()
+                ? role == Role.PRE_CANDIDATE && reply.term() == term + 1
+                : role == Role.CANDIDATE && reply.term() == term;
+        if (awaited && reply.granted() && membership().isVoter(reply.from())) {
+            votes.add(reply.from());
+            tally(now);
+        }
+    }
+
+    /**
+     * Goes on when enough votes are won.
+     *
+     * @param now the present time
+     */
+    private void tally(long now) {
+        if (votes.size() < membership().quorum()) {
+            return;
+        }
+        if (role == Role.PRE_CANDIDATE) {
+            campaign(false, now);
+        } else if (role == Role.CANDIDATE) {
+            role = Role.LEADER;
+            leader = self;
+            leadership = new Leadership(this, self, timing, log, now);
+            log.appendOwn(term, EntryKind.NOOP, new byte[0]);
+            leadership.replicate(now);
+        }
+    }
+
+    /**
+     * Answers an append.
+     *
+     * @param request the request
+     * @param now the present time
+     */
+    private void answerAppend(AppendRequest request, long now) {
+        if (request.term() < term) {
+            log.effects().sendLate(request.from(), new AppendReply(self, term, false, 0, request.sentAt()));
+            return;
+        }
+        hearLeader(request.from(), request.term(), now);
+        boolean matches = log.matches(request);
+        long index = matches ? log.accept(request) : log.backFrom(request);
+        log.effects().sendLate(request.from(), new AppendReply(self, term, matches, index, request.sentAt()));
+    }
+
+    /**
+     * Answers a snapshot.
+     *
+     * @param request the request
+     * @param now the present time
+     */
+    private void answerSnapshot(SnapshotRequest request, long now) {
+        if (request.term() < term) {
+            log.effects().sendLate(request.from(), new AppendReply(self, term, false, 0, request.sentAt()));
+            return;
+        }
+        hearLeader(request.from(), request.term(), now);
+        log.install(request.snapshot());
+        log.effects().sendLate(request.from(), new AppendReply(self, term, true, log.commitIndex(), request.sentAt()));
+    }
+
+    /**
+     * Takes note of a leader's message.
+     *
+     * @param from the leader
+     * @param leaderTerm its term
+     * @param now the present time
+     */
+    private void hearLeader(ReplicaId from, long leaderTerm, long now) {
+        Invariant.check(
+                role != Role.LEADER || leaderTerm > term,
+                () -> "two leaders in term " + term + ": " + self + ", " + from);
+        follow(leaderTerm, from, now);
+        lastLeaderContact = now;
+    }
+
+    /**
+     * Takes a follower's reply.
+     *
+     * @param reply the reply
+     * @param now the present time
+     */
+    private void takeAppendReply(AppendReply reply, long now) {
+        if (reply.term() > term) {
+            follow(reply.term(), null, now);
+        } else if (role == Role.LEADER && reply.term() == term) {
+            leadership.takeReply(reply, now);
+        }
+    }
+}
--- /dev/null
+++ b/replication/src/main/java/org/bamboohatch/replication/consensus/Outgoing.java
@@ -0,0 +1,12 @@
+package org.bamboohatch.replication.consensus;
+
+import org.bamboohatch.kernel.id.ReplicaId;
+import org.bamboohatch.replication.message.ReplicaMessage;
+
+/**
+ * A message to send.
+ *
+ * @param to the receiver
+ * @param message the message
+ */
+public record Outgoing(ReplicaId to, ReplicaMessage message) {}
--- /dev/null
+++ b/routing/src/main/java/org/bamboohatch/routing/retry/TargetHealth.java
@@ -0,0 +1,72 @@
+package org.bamboohatch.routing.retry;
+
+/**
+ * Health of a target as one entry sees it; a target that keeps failing is left out for a while and then probed by
+ * a single request.
+ *
+ * @param failures failures in a row
+ * @param ejections times that the target was left out in a row
+ * @param excludedUntil time until which the target is left out, in milliseconds
+ * @param probing whether a probe is under way
+ */
+public record TargetHealth(int failures, int ejections, long excludedUntil, boolean probing) {
+
+    /** Failures in a row after which a target is left out. */
+    private static final int MAX_FAILURES = 3;
+
+    /** The first time for which a target is left out, in milliseconds. */
+    private static final long BASE_MS = 500;
+
+    /** The longest such time, in milliseconds. */
+    private static final long CAP_MS = 15_000;
+
+    /** Doublings after which the longest time is surely reached. */
+    private static final int MAX_DOUBLINGS = 6;
+
+    /** A target that has not failed. */
+    public static final TargetHealth GOOD = new TargetHealth(0, 0, 0, false);
+
+    /**
+     * Tells whether the target may be given a request.
+     *
+     * @param now the present time, in milliseconds
+     * @return whether it is not left out
+     */
+    public boolean isAvailable(long now) {
+        boolean suspect = ejections > 0;
+        return now >= excludedUntil && !(suspect && probing);
+    }
+
+    /**
+     * Takes note of a dispatched request.
+     *
+     * @return the new health
+     */
+    public TargetHealth dispatched() {
+        return new TargetHealth(failures, ejections, excludedUntil, ejections > 0);
+    }
+
+    /**
+     * Takes note of a success.
+     *
+     * @return the new health
+     */
+    public TargetHealth succeeded() {
+        return GOOD;
+    }
+
+    /**
+     * Takes note of a failure.
+     *
+     * @param now the present time, in milliseconds
+     * @return the new health
+     */
+    public TargetHealth failed(long now) {
+        int inRow = failures + 1;
+        if (inRow < MAX_FAILURES && ejections == 0) {
+            return new TargetHealth(inRow, 0, 0, false);
+        }
+        long pause = Math.min(CAP_MS, BASE_MS << Math.min(MAX_DOUBLINGS, ejections));
+        return new TargetHealth(0, ejections + 1, now + pause, false);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/bamboohatch/standin/engine/EngineSettings.java
@@ -0,0 +1,94 @@
+package org.bamboohatch.standin.engine;
+
+import java.util.List;
+
+import org.bamboohatch.kernel.settings.Setting;
+
+/**
+ * Settings of the stand-in engine.
+ *
+ * @param listen address to listen on
+ * @param memoryTokens KV memory
+ * @param stepTokens tokens processed in one step at most
+ * @param baseStepMillis duration of an empty step
+ * @param prefillMillisPerToken duration of a prompt token
+ * @param decodeMillisPerSequence duration of one output token of one sequence
+ * @param timeScale factor on every duration
+ * @param loadLagMillis age of the load that is reported
+ * @param loadModelMillis duration of loading a model
+ * @param honoursFencing whether orders with an old fencing number are refused
+ * @param abortsOnDisconnect whether a sequence ends when its caller goes away
+ * @param models models that are loaded at the start, as name@version
+ */
+public record EngineSettings(
+        @Setting(description = "address to listen on, as IP:port")
+        String listen,
+
+        @Setting(description = "KV memory", unit = "tokens", min = 1, max = 100_000_000, fallback = "400000")
+        long memoryTokens,
+
+        @Setting(
+                description = "tokens processed in one step at most",
+                unit = "tokens",
+                min = 1,
+                max = 1_000_000,
+                fallback = "1024")
+        int stepTokens,
+
+        @Setting(
+                description = "duration of an empty step",
+                unit = "milliseconds",
+                min = 0,
+                max = 1000,
+                fallback = "6.0")
+        double baseStepMillis,
+
+        @Setting(
+                description = "duration of a prompt token",
+                unit = "milliseconds",
+                min = 0,
+                max = 1000,
+                fallback = "0.0125")
+        double prefillMillisPerToken,
+
+        @Setting(
+                description = "duration of one output token of one sequence",
+                unit = "milliseconds",
+                min = 0,
+                max = 1000,
+                fallback = "0.05")
+        double decodeMillisPerSequence,
+
+        @Setting(description = "factor on every duration", min = 0.001, max = 100, fallback = "1.0")
+        double timeScale,
+
+        @Setting(
+                description = "age of the load that is reported",
+                unit = "milliseconds",
+                min = 0,
+                max = 60_000,
+                fallback = "200")
+        long loadLagMillis,
+
+        @Setting(
+                description = "duration of loading a model",
+                unit = "milliseconds",
+                min = 0,
+                max = 600_000,
+                fallback = "500")
+        long loadModelMillis,
+
+        @Setting(description = "whether orders with an old fencing number are refused", fallback = "true")
+        boolean honoursFencing,
+
+        @Setting(description = "whether a sequence ends when its caller goes away", fallback = "false")
+        boolean abortsOnDisconnect,
+
+        @Setting(description = "models loaded at the start, as name@version", fallback = "[]")
+        List<String> models) {
+
+    /** Makes the list immutable. */
+    public EngineSettings {
+        models = List.copyOf(models);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/bamboohatch/standin/plain/PlainSettings.java
@@ -0,0 +1,21 @@
+package org.bamboohatch.standin.plain;
+
+import org.bamboohatch.kernel.settings.Setting;
+
+/**
+ * Settings of the stand-in plain service.
+ *
+ * @param listen address to listen on
+ * @param delayMillis time that each call takes
+ */
+public record PlainSettings(
+        @Setting(description = "address to listen on, as IP:port")
+        String listen,
+
+        @Setting(
+                description = "time that each call takes",
+                unit = "milliseconds",
+                min = 0,
+                max = 600_000,
+                fallback = "5")
+        long delayMillis) {}
