Quorum log and ledger: randomised proofs over the real code, and the faults that they found

Cause: nothing showed that the log, the membership change and the ledger keep their promises. Ruled out: shrinking the lease or the batches; none of the failing traces had an expired lease.

--- a/control/src/main/java/org/bamboohatch/control/state/LedgerMachine.java
+++ b/control/src/main/java/org/bamboohatch/control/state/LedgerMachine.java
@@ -90,6 +90,7 @@
      * @return granted, or why the claimant must not run the request
      */
     public Run begin(BeginRun request) {
+        touch(request.key());
         if (request.attemptTime() < time - MAX_ATTEMPT_AGE_MS) {
             return new Run(RunState.EXPIRED, null);
         }
@@ -121,6 +122,7 @@
      * @return abandoned, or the state of the attempt's run
      */
     public Run abandon(AbandonRun request) {
+        touch(request.key());
         if (request.attemptTime() < time - MAX_ATTEMPT_AGE_MS) {
             LedgerRecord record = records.get(request.key());
             boolean ran = record != null && request.attempt().equals(record.attempt());
@@ -220,6 +222,18 @@
         time = state.time();
     }
 
+    /**
+     * Takes note that a key was used, so that its record is kept.
+     *
+     * @param key the key
+     */
+    private void touch(RunKey key) {
+        LedgerRecord record = records.get(key);
+        if (record != null) {
+            store(key, record);
+        }
+    }
+
     /**
      * Stores a record as used now.
      *
--- a/replication/src/main/java/org/bamboohatch/replication/consensus/ConsensusCore.java
+++ b/replication/src/main/java/org/bamboohatch/replication/consensus/ConsensusCore.java
@@ -39,9 +39,6 @@
     /** The log. */
     private final ReplicaLog log;
 
-    /** Time of the start; no vote is given until an election timeout later. */
-    private final long startedAt;
-
     /** The latest term seen. */
     private long term;
 
@@ -54,8 +51,8 @@
     /** The leader of the term, or null. */
     private ReplicaId leader;
 
-    /** Time of the leader's last message. */
-    private long lastLeaderContact = Long.MIN_VALUE / 2;
+    /** Time of the leader's last message, or of the start, because a leader may have been heard just before it. */
+    private long lastLeaderContact;
 
     /** Time at which this replica stands for election. */
     private long electionDeadline;
@@ -91,7 +88,7 @@
         this.term = state.term();
         this.vote = state.vote();
         this.log = new ReplicaLog(new MemoryLog(snapshot, entries));
-        this.startedAt = now;
+        this.lastLeaderContact = now;
         resetElection(now);
     }
 
@@ -205,6 +202,17 @@
         return role == Role.LEADER && leadership.holdsLease(now) && log.appliedIndex() >= leadership.firstIndex();
     }
 
+    /**
+     * Tells whether this replica should ask to be taken in: it does not vote and no leader speaks to it. What its
+     * own log says of learners does not count, because that entry may never have been committed.
+     *
+     * @param now the present time
+     * @return whether it is outside of the group
+     */
+    public boolean isOutside(long now) {
+        return !membership().isVoter(self) && now - lastLeaderContact > timing.electionMaximum();
+    }
+
     /**
      * Returns the index of the first entry held in memory.
      *
@@ -286,15 +294,6 @@
         return log.membership();
     }
 
-    /**
-     * Gives up leadership.
-     *
-     * @param now the present time
-     */
-    void abdicate(long now) {
-        follow(term, null, now);
-    }
-
     /**
      * Draws a new time at which to stand for election.
      *
@@ -311,7 +310,7 @@
      * @param newLeader the leader, or null
      * @param now the present time
      */
-    private void follow(long newTerm, ReplicaId newLeader, long now) {
+    void follow(long newTerm, ReplicaId newLeader, long now) {
         Invariant.check(newTerm >= term, () -> "term goes back from " + term + " to " + newTerm);
         if (newTerm > term) {
             term = newTerm;
@@ -357,15 +356,15 @@
     }
 
     /**
-     * Answers a candidate.
+     * Answers a candidate. A learner answers too: it may have been made a voter without knowing it yet, and the
+     * candidate counts the votes of its own membership only.
      *
      * @param request the request
      * @param now the present time
      */
     private void answerVote(VoteRequest request, long now) {
         boolean leaderLives = role == Role.LEADER || now - lastLeaderContact < timing.electionMinimum();
-        boolean justStarted = now - startedAt < timing.electionMinimum();
-        if (leaderLives || justStarted || request.term() < term || !membership().isVoter(self)) {
+        if (leaderLives || request.term() < term) {
             reply(request, false);
             return;
         }
--- a/replication/src/main/java/org/bamboohatch/replication/consensus/Leadership.java
+++ b/replication/src/main/java/org/bamboohatch/replication/consensus/Leadership.java
@@ -228,7 +228,7 @@
         if (candidate >= firstIndex && candidate > replicaLog.commitIndex()) {
             replicaLog.commit(candidate);
             if (!membership().isVoter(self) && candidate >= replicaLog.membershipIndex()) {
-                core.abdicate(now);
+                core.follow(core.term(), null, now);
             }
         }
     }
--- a/replication/src/main/java/org/bamboohatch/replication/consensus/ReplicaLog.java
+++ b/replication/src/main/java/org/bamboohatch/replication/consensus/ReplicaLog.java
@@ -188,7 +188,8 @@
     }
 
     /**
-     * Replaces the log by a snapshot, unless it is older than what is committed here.
+     * Replaces the log by a snapshot, unless it is older than what is committed here. A log that leads up to the
+     * snapshot is kept, because entries after it may have been acknowledged.
      *
      * @param snapshot the snapshot
      */
@@ -196,6 +197,10 @@
         if (snapshot.index() <= commitIndex) {
             return;
         }
+        if (log.term(snapshot.index()) == snapshot.term()) {
+            commit(snapshot.index());
+            return;
+        }
         log.reset(snapshot);
         memberships.reset(snapshot);
         commitIndex = snapshot.index();
--- a/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaService.java
+++ b/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaService.java
@@ -6,7 +6,6 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
@@ -23,10 +22,8 @@
 import org.bamboohatch.protocol.transport.Network;
 import org.bamboohatch.replication.StateMachine;
 import org.bamboohatch.replication.consensus.ConsensusCore;
-import org.bamboohatch.replication.consensus.Effects;
 import org.bamboohatch.replication.consensus.Outgoing;
 import org.bamboohatch.replication.consensus.Role;
-import org.bamboohatch.replication.message.EntryKind;
 import org.bamboohatch.replication.message.LogEntry;
 import org.bamboohatch.replication.message.Member;
 import org.bamboohatch.replication.message.ReplicaMessage;
@@ -95,7 +92,10 @@
     /** The consensus. */
     private ConsensusCore core;
 
-    /** How this replica begins, until it is part of a group. */
+    /** Carries out the effects of the consensus. */
+    private ReplicaStepper stepper;
+
+    /** How this replica becomes part of a group. */
     private Founding founding;
 
     /** Time of the next try to form or join a group. */
@@ -161,9 +161,8 @@
                 loaded.snapshot(),
                 loaded.entries(),
                 now());
-        if (!loaded.isFormed()) {
-            founding = new Founding(self, settings.peers());
-        }
+        stepper = new ReplicaStepper(core, store, machine, settings.snapshotEntries());
+        founding = new Founding(self, settings.peers());
         LOGGER.info("replica: {} begins at index {} of term {}", self.replica(), core.lastIndex(), core.term());
     }
 
@@ -276,74 +275,27 @@
      * @throws IOException if the storage fails
      */
     private void step() throws IOException {
-        if (founding != null && now() >= nextFounding) {
+        if (now() >= nextFounding && core.isOutside(now())) {
             tryFounding();
         }
-        core.tick(now());
-        boolean more = true;
-        while (more) {
-            Effects effects = core.drain();
-            effects.early().forEach(this::send);
-            if (effects.needsDisk()) {
-                persist(effects);
-            }
-            core.persisted(core.lastIndex(), now());
-            effects.late().forEach(this::send);
-            more = applyCommitted();
-        }
+        stepper.step(now(), this::send, this::tellProposer);
         failLostProposals();
     }
 
     /**
-     * Makes effects durable.
+     * Tells a proposer the result of its command.
      *
-     * @param effects the effects
-     * @throws IOException if the storage fails
+     * @param entry the applied entry
+     * @param result the result of the state machine
      */
-    private void persist(Effects effects) throws IOException {
-        if (effects.hardState().isPresent()) {
-            store.saveState(effects.hardState().get());
-        }
-        if (effects.installed().isPresent()) {
-            Snapshot snapshot = effects.installed().get();
-            store.install(snapshot);
-            machine.restore(snapshot.state());
-            LOGGER.info("replica: installed the snapshot at index {}", snapshot.index());
-        }
-        if (effects.truncateFrom() > 0) {
-            store.truncate(effects.truncateFrom());
-        }
-        store.append(effects.appended());
-        if (founding != null && core.lastIndex() > 0) {
-            founding = null;
+    private void tellProposer(LogEntry entry, Object result) {
+        Pending proposal = pending.remove(entry.index());
+        if (proposal != null) {
+            boolean own = proposal.term() == entry.term();
+            proposal.outcome().complete(own ? new Proposal.Decided(result) : new Proposal.Unknown());
         }
     }
 
-    /**
-     * Applies committed entries and takes a snapshot when it is due.
-     *
-     * @return whether anything was applied
-     * @throws IOException if the storage fails
-     */
-    private boolean applyCommitted() throws IOException {
-        boolean any = false;
-        for (Optional<LogEntry> next = core.nextCommitted(); next.isPresent(); next = core.nextCommitted()) {
-            LogEntry entry = next.get();
-            any = true;
-            Object result = entry.kind() == EntryKind.COMMAND ? machine.apply(entry.index(), entry.data()) : null;
-            Pending proposal = pending.remove(entry.index());
-            if (proposal != null) {
-                boolean own = proposal.term() == entry.term();
-                proposal.outcome().complete(own ? new Proposal.Decided(result) : new Proposal.Unknown());
-            }
-        }
-        if (core.appliedIndex() - core.snapshot().index() >= settings.snapshotEntries()) {
-            Snapshot snapshot = core.compact(machine.snapshot(), settings.snapshotEntries() / 2);
-            store.compact(snapshot, core.firstIndex(), core.lastIndex() + 1);
-        }
-        return any;
-    }
-
     /** Tells proposers whose entries may be lost with leadership. */
     private void failLostProposals() {
         if (core.role() == Role.LEADER
@@ -372,9 +324,7 @@
                 send(probe.member().address(), new Formation(self.replica(), core.snapshot()));
             }
         } else if (message instanceof ProbeReply reply) {
-            if (founding != null) {
-                founding.take(reply);
-            }
+            founding.take(reply);
         } else if (message instanceof Formation formation) {
             if (core.lastIndex() == 0 && formation.founding().membership().isVoter(self.replica())) {
                 form(formation.founding());
@@ -400,6 +350,9 @@
         for (Member member : founding.formed()) {
             send(member.address(), new JoinRequest(self.replica(), self, settings.replaces()));
         }
+        if (core.lastIndex() > 0) {
+            return;
+        }
         founding.foundingSnapshot().ifPresent(snapshot -> {
             LOGGER.info("replica: forms a group of {}", settings.peers());
             snapshot.membership().voters().stream()
@@ -417,7 +370,6 @@
     private void form(Snapshot snapshot) {
         try {
             store.install(snapshot);
-            founding = null;
             begin(store.load(settings.host()));
         } catch (IOException failed) {
             fail("storage failed while the group was formed", failed);
--- a/replication/src/main/java/org/bamboohatch/replication/storage/LogStore.java
+++ b/replication/src/main/java/org/bamboohatch/replication/storage/LogStore.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.TreeMap;
+import java.util.function.Supplier;
 
 import org.bamboohatch.kernel.id.HostName;
 import org.bamboohatch.kernel.id.ReplicaId;
@@ -64,6 +65,9 @@
     /** The files. */
     private final Disk disk;
 
+    /** Makes the identity of a new folder. */
+    private final Supplier<ReplicaId> identities;
+
     /** Offsets of the entries in the last segment by index. */
     private final TreeMap<Long, Long> offsets = new TreeMap<>();
 
@@ -79,7 +83,18 @@
      * @param disk the files
      */
     public LogStore(Disk disk) {
+        this(disk, ReplicaId::random);
+    }
+
+    /**
+     * Creates a store.
+     *
+     * @param disk the files
+     * @param identities makes the identity of a new folder, never the same twice
+     */
+    public LogStore(Disk disk, Supplier<ReplicaId> identities) {
         this.disk = disk;
+        this.identities = identities;
     }
 
     /**
@@ -104,6 +119,10 @@
             boolean last = segment.getKey().equals(segments.lastKey());
             loadSegment(segment.getValue(), last, entries);
         }
+        if (isReplaced(snapshot, entries)) {
+            deleteSegments();
+            entries.clear();
+        }
         checkSequence(snapshot, entries);
         return new Loaded(identity, state, snapshot, entries);
     }
@@ -127,7 +146,7 @@
         if (!files.isEmpty()) {
             throw new DamagedException(IDENTITY_FILE, 0, "the identity is missing beside other data");
         }
-        Identity identity = new Identity(ReplicaId.random(), host);
+        Identity identity = new Identity(identities.get(), host);
         writeSingle(IDENTITY_FILE, identity);
         return identity;
     }
@@ -142,11 +161,6 @@
      */
     private void loadSegment(String file, boolean last, List<LogEntry> entries) throws IOException {
         byte[] content = disk.read(file);
-        if (last && content.length < RecordFormat.HEADER_BYTES) {
-            disk.delete(file);
-            segments.values().remove(file);
-            return;
-        }
         RecordFormat.checkHeader(file, content);
         offsets.clear();
         int offset = RecordFormat.HEADER_BYTES;
@@ -167,6 +181,34 @@
         length = offset;
     }
 
+    /**
+     * Tells whether the segments are left over from a log that an installed snapshot has replaced, because the
+     * process ended before they were deleted.
+     *
+     * @param snapshot the snapshot
+     * @param entries the entries in the segments
+     * @return whether the entries do not lead up to the snapshot
+     */
+    private static boolean isReplaced(Snapshot snapshot, List<LogEntry> entries) {
+        if (entries.isEmpty() || entries.get(0).index() > snapshot.index()) {
+            return false;
+        }
+        long position = snapshot.index() - entries.get(0).index();
+        return position >= entries.size() || entries.get((int) position).term() != snapshot.term();
+    }
+
+    /**
+     * Deletes every segment, the last one first.
+     *
+     * @throws IOException if a segment cannot be deleted
+     */
+    private void deleteSegments() throws IOException {
+        while (!segments.isEmpty()) {
+            disk.delete(segments.pollLastEntry().getValue());
+        }
+        offsets.clear();
+    }
+
     /**
      * Checks that the entries follow each other and the snapshot.
      *
@@ -211,7 +253,7 @@
         }
         ByteArrayOutputStream batch = new ByteArrayOutputStream();
         if (segments.isEmpty()) {
-            beginSegment(entries.get(0).index(), batch);
+            beginSegment(entries.get(0).index());
         }
         for (LogEntry entry : entries) {
             offsets.put(entry.index(), length);
@@ -225,15 +267,16 @@
     }
 
     /**
-     * Begins a segment.
+     * Begins a segment; its header is durable before any entry follows, so that only entries can be torn.
      *
      * @param firstIndex index of its first entry
-     * @param batch receives the header
+     * @throws IOException if it cannot be written
      */
-    private void beginSegment(long firstIndex, ByteArrayOutputStream batch) {
-        segments.put(firstIndex, String.format(SEGMENT_FORMAT, firstIndex));
+    private void beginSegment(long firstIndex) throws IOException {
+        String segment = String.format(SEGMENT_FORMAT, firstIndex);
+        disk.replace(segment, RecordFormat.header());
+        segments.put(firstIndex, segment);
         offsets.clear();
-        batch.writeBytes(RecordFormat.header());
         length = RecordFormat.HEADER_BYTES;
     }
 
@@ -274,11 +317,7 @@
     public void compact(Snapshot snapshot, long firstKept, long nextIndex) throws IOException {
         writeSingle(SNAPSHOT_FILE, snapshot);
         if (!segments.isEmpty() && segments.lastKey() < nextIndex) {
-            ByteArrayOutputStream header = new ByteArrayOutputStream();
-            beginSegment(nextIndex, header);
-            String segment = segments.lastEntry().getValue();
-            disk.append(segment, header.toByteArray());
-            disk.sync(segment);
+            beginSegment(nextIndex);
         }
         while (segments.size() > 1 && secondSegment() <= firstKept) {
             disk.delete(segments.pollFirstEntry().getValue());
@@ -302,10 +341,7 @@
      */
     public void install(Snapshot snapshot) throws IOException {
         writeSingle(SNAPSHOT_FILE, snapshot);
-        while (!segments.isEmpty()) {
-            disk.delete(segments.pollLastEntry().getValue());
-        }
-        offsets.clear();
+        deleteSegments();
     }
 
     /**
--- /dev/null
+++ b/replication/src/test/java/org/bamboohatch/replication/consensus/ConsensusCoreTest.java
@@ -0,0 +1,108 @@
+package org.bamboohatch.replication.consensus;
+
+import java.util.List;
+import java.util.SplittableRandom;
+
+import org.bamboohatch.kernel.id.HostName;
+import org.bamboohatch.kernel.id.ReplicaId;
+import org.bamboohatch.replication.message.Member;
+import org.bamboohatch.replication.message.Membership;
+import org.bamboohatch.replication.message.ReplicaMessage.AppendRequest;
+import org.bamboohatch.replication.message.ReplicaMessage.VoteReply;
+import org.bamboohatch.replication.message.ReplicaMessage.VoteRequest;
+import org.bamboohatch.replication.message.Snapshot;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ConsensusCoreTest {
+
+    private static final Member ONE = member("1");
+    private static final Member TWO = member("2");
+    private static final Member THREE = member("3");
+
+    private static Member member(String number) {
+        return new Member(new ReplicaId(number), new HostName("host-" + number), "127.0.0.1:" + number);
+    }
+
+    private static ConsensusCore core(Member self, Membership membership) {
+        Snapshot founding = new Snapshot(1, 0, membership, new byte[0]);
+        return new ConsensusCore(
+                self.replica(), Timing.DEFAULT, new SplittableRandom(1), HardState.INITIAL, founding, List.of(), 0);
+    }
+
+    private static boolean granted(ConsensusCore core) {
+        return core.drain().late().stream()
+                .map(Outgoing::message)
+                .filter(VoteReply.class::isInstance)
+                .map(VoteReply.class::cast)
+                .reduce((first, second) -> second)
+                .orElseThrow()
+                .granted();
+    }
+
+    private static VoteRequest request(Member candidate, long term) {
+        return new VoteRequest(candidate.replica(), term, false, 1, 0);
+    }
+
+    @Test
+    void aLearnerVotesBecauseItMayHaveBeenMadeAVoter() {
+        ConsensusCore core = core(THREE, new Membership(List.of(ONE, TWO), List.of(THREE)));
+        core.receive(request(ONE, 1), 700);
+        assertThat(granted(core)).isTrue();
+    }
+
+    @Test
+    void noVoteIsGivenRightAfterTheStart() {
+        ConsensusCore core = core(ONE, new Membership(List.of(ONE, TWO, THREE), List.of()));
+        core.receive(request(TWO, 1), 100);
+        assertThat(granted(core)).isFalse();
+    }
+
+    @Test
+    void noVoteIsGivenWhileTheLeaderLives() {
+        ConsensusCore core = core(ONE, new Membership(List.of(ONE, TWO, THREE), List.of()));
+        core.receive(new AppendRequest(TWO.replica(), 1, 1, 0, List.of(), 1, 0), 1_000);
+        core.receive(request(THREE, 2), 1_100);
+        assertThat(granted(core)).isFalse();
+    }
+
+    @Test
+    void oneVoteIsGivenInATerm() {
+        ConsensusCore core = core(ONE, new Membership(List.of(ONE, TWO, THREE), List.of()));
+        core.receive(request(TWO, 1), 700);
+        assertThat(granted(core)).isTrue();
+        core.receive(request(THREE, 1), 701);
+        assertThat(granted(core)).isFalse();
+    }
+
+    @Test
+    void aSoleReplicaLeadsAndCommitsOnlyWhatIsDurable() {
+        ConsensusCore core = core(ONE, new Membership(List.of(ONE), List.of()));
+        core.tick(2_000);
+        assertThat(core.role()).isEqualTo(Role.LEADER);
+        assertThat(core.commitIndex()).isEqualTo(1);
+        core.persisted(core.lastIndex(), 2_000);
+        assertThat(core.commitIndex()).isEqualTo(2);
+    }
+
+    @Test
+    void readsNeedACommittedEntryOfTheOwnTerm() {
+        ConsensusCore core = core(ONE, new Membership(List.of(ONE), List.of()));
+        core.tick(2_000);
+        assertThat(core.mayRead(2_000)).isFalse();
+        core.persisted(core.lastIndex(), 2_000);
+        while (core.nextCommitted().isPresent()) {
+            assertThat(core.appliedIndex()).isPositive();
+        }
+        assertThat(core.mayRead(2_000)).isTrue();
+    }
+
+    @Test
+    void aLearnerWithoutALeaderAsksToBeTakenInAgain() {
+        ConsensusCore core = core(THREE, new Membership(List.of(ONE, TWO), List.of(THREE)));
+        core.receive(new AppendRequest(ONE.replica(), 1, 1, 0, List.of(), 1, 0), 1_000);
+        assertThat(core.isOutside(1_100)).isFalse();
+        assertThat(core.isOutside(1_001 + Timing.DEFAULT.electionMaximum())).isTrue();
+    }
+}
--- /dev/null
+++ b/replication/src/test/java/org/bamboohatch/replication/simulation/SimulatedCluster.java
@@ -0,0 +1,293 @@
+package org.bamboohatch.replication.simulation;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+import org.bamboohatch.kernel.id.ReplicaId;
+import org.bamboohatch.kernel.service.Invariant;
+import org.bamboohatch.replication.consensus.Outgoing;
+import org.bamboohatch.replication.consensus.Role;
+import org.bamboohatch.replication.message.LogEntry;
+import org.bamboohatch.replication.message.Member;
+import org.bamboohatch.replication.message.Membership;
+import org.bamboohatch.replication.message.ReplicaMessage;
+import org.bamboohatch.replication.message.ReplicaMessage.JoinRequest;
+import org.bamboohatch.replication.message.Snapshot;
+import org.bamboohatch.replication.storage.FakeDisk;
+
+/**
+ * Replicas on a fake network and fake disks, driven by one seed through delays, losses, repeats, one-way cuts,
+ * crashes at any disk operation, pauses and lost disks, while the promises of the log are checked.
+ */
+public final class SimulatedCluster {
+
+    /** A message under way. */
+    private record Flight(long arrival, SimulatedReplica from, ReplicaId to, ReplicaMessage message) {}
+
+    /** A command that was acknowledged. */
+    private record Acknowledged(long index, long term) {}
+
+    long now = 10_000;
+
+    private final SplittableRandom random;
+    private final List<SimulatedReplica> replicas = new ArrayList<>();
+    private final List<Flight> flights = new ArrayList<>();
+    private final Set<String> cuts = new HashSet<>();
+    private final Map<Long, ReplicaId> leaders = new HashMap<>();
+    private final Map<Long, LogEntry> committed = new HashMap<>();
+    private final Map<Long, String> states = new HashMap<>();
+    private final Map<Long, Long> proposals = new HashMap<>();
+    private long acknowledgedIndex;
+    private int commands;
+    private int lostDisks;
+    private int crashes;
+
+    public SimulatedCluster(long seed, int size) throws IOException {
+        random = new SplittableRandom(seed);
+        for (int number = 1; number <= size; number++) {
+            double rate = 0.97 + random.nextDouble() * 0.06;
+            replicas.add(new SimulatedReplica(this, "host-" + number, rate, random.split()));
+        }
+        for (SimulatedReplica replica : replicas) {
+            replica.form(null);
+        }
+        List<Member> formed = replicas.stream().map(replica -> replica.member).toList();
+        Snapshot founding = new Snapshot(1, 0, new Membership(formed, List.of()), new byte[0]);
+        for (SimulatedReplica replica : replicas) {
+            replica.form(founding);
+            replica.start();
+        }
+    }
+
+    /** Makes every disk leave out syncs, for showing that the checks notice it. */
+    public void ignoreSyncs() {
+        replicas.forEach(replica -> replica.disk.ignoreSync());
+    }
+
+    /** Runs random steps, then heals everything and checks that the replicas agree and go on. */
+    public void run(int steps) throws IOException {
+        for (int step = 0; step < steps; step++) {
+            act();
+            advance(random.nextInt(1, 15));
+        }
+        heal();
+    }
+
+    public String summary() {
+        return commands + " commands, " + committed.size() + " entries applied, " + leaders.size() + " terms led, "
+                + crashes + " crashes, " + lostDisks + " disks lost";
+    }
+
+    private void act() throws IOException {
+        SimulatedReplica replica = replicas.get(random.nextInt(replicas.size()));
+        int choice = random.nextInt(10_000);
+        if (choice < 2_500) {
+            propose(replica);
+        } else if (choice < 2_510 && replica.isUp()) {
+            crash(replica);
+        } else if (choice < 2_525 && replica.isUp()) {
+            replica.disk.crashAfter(random.nextInt(6));
+        } else if (choice < 2_700 && !replica.isUp()) {
+            replica.start();
+        } else if (choice < 2_720) {
+            cuts.add(replica.host + ">" + replicas.get(random.nextInt(replicas.size())).host);
+        } else if (choice < 2_730) {
+            replicas.forEach(other -> cuts.add(replica.host + ">" + other.host));
+        } else if (choice < 2_770) {
+            cuts.clear();
+        } else if (choice < 2_780) {
+            replica.paused = true;
+        } else if (choice < 2_900) {
+            replica.paused = false;
+        } else if (choice < 2_910) {
+            loseDisk(replica);
+        }
+    }
+
+    private void propose(SimulatedReplica replica) {
+        if (replica.isUp() && !replica.paused) {
+            byte[] command = ("c" + commands).getBytes(StandardCharsets.UTF_8);
+            OptionalLong index = replica.core.propose(command, replica.now());
+            if (index.isPresent()) {
+                commands++;
+                proposals.put(index.getAsLong(), replica.core.term());
+            }
+        }
+    }
+
+    private void crash(SimulatedReplica replica) {
+        crashes++;
+        replica.crash();
+    }
+
+    /** Loses a disk, but only while no earlier loss waits for its repair. */
+    private void loseDisk(SimulatedReplica replica) throws IOException {
+        boolean repaired = replicas.stream()
+                .filter(SimulatedReplica::isUp)
+                .filter(other -> other.core.mayRead(other.now()))
+                .anyMatch(leader -> leader.core.commitIndex() == leader.core.lastIndex()
+                        && leader.core.membership().voters().size() == replicas.size()
+                        && leader.core.membership().voters().stream().allMatch(this::lives));
+        if (repaired) {
+            lostDisks++;
+            replica.crash();
+            replica.disk = new FakeDisk();
+            replica.start();
+        }
+    }
+
+    private boolean lives(Member voter) {
+        return replicas.stream().anyMatch(replica -> replica.member.equals(voter));
+    }
+
+    private void advance(long millis) {
+        now += millis;
+        for (SimulatedReplica replica : replicas) {
+            if (replica.isUp() && !replica.paused) {
+                deliver(replica);
+                join(replica);
+                replica.step();
+                if (replica.isUp()) {
+                    check(replica);
+                } else {
+                    crashes++;
+                }
+            }
+        }
+    }
+
+    private void deliver(SimulatedReplica replica) {
+        List<Flight> due = flights.stream()
+                .filter(flight -> flight.arrival <= now && flight.to.equals(replica.member.replica()))
+                .toList();
+        flights.removeAll(due);
+        for (Flight flight : due) {
+            replica.core.receive(flight.message, replica.now());
+        }
+    }
+
+    private void join(SimulatedReplica replica) {
+        if (replica.core.isOutside(replica.now()) && random.nextInt(20) == 0) {
+            for (SimulatedReplica other : replicas) {
+                if (other.isUp()) {
+                    flights.add(new Flight(
+                            now + 5,
+                            replica,
+                            other.member.replica(),
+                            new JoinRequest(replica.member.replica(), replica.member, replica.host)));
+                }
+            }
+        }
+    }
+
+    void send(SimulatedReplica from, Outgoing outgoing) {
+        int copies = random.nextInt(100) < 2 ? 2 : 1;
+        for (int copy = 0; copy < copies; copy++) {
+            boolean lost = random.nextInt(100) < 4 || isCut(from, outgoing.to());
+            if (!lost) {
+                long delay = random.nextInt(100) < 5 ? random.nextInt(400) : random.nextInt(1, 12);
+                flights.add(new Flight(now + delay, from, outgoing.to(), outgoing.message()));
+            }
+        }
+    }
+
+    private boolean isCut(SimulatedReplica from, ReplicaId to) {
+        return replicas.stream()
+                .filter(replica -> replica.member.replica().equals(to))
+                .anyMatch(replica -> cuts.contains(from.host + ">" + replica.host));
+    }
+
+    private void check(SimulatedReplica replica) {
+        if (replica.core.role() == Role.LEADER) {
+            ReplicaId known = leaders.putIfAbsent(replica.core.term(), replica.member.replica());
+            Invariant.check(
+                    known == null || known.equals(replica.member.replica()),
+                    () -> "two leaders in term " + replica.core.term());
+        }
+        if (replica.core.mayRead(replica.now())) {
+            Invariant.check(
+                    replica.core.appliedIndex() >= acknowledgedIndex,
+                    () -> "a read would miss the acknowledged entry " + acknowledgedIndex);
+        }
+    }
+
+    void checkState(long index, String state) {
+        String known = states.putIfAbsent(index, state);
+        Invariant.check(known == null || known.equals(state), () -> "states differ after entry " + index);
+    }
+
+    void onApplied(SimulatedReplica replica, LogEntry entry) {
+        LogEntry known = committed.putIfAbsent(entry.index(), entry);
+        Invariant.check(
+                known == null || known.term() == entry.term() && java.util.Arrays.equals(known.data(), entry.data()),
+                () -> "two entries are committed at index " + entry.index());
+        boolean proposer = replica.core.role() == Role.LEADER && replica.core.term() == entry.term();
+        if (proposer && proposals.getOrDefault(entry.index(), -1L) == entry.term()) {
+            acknowledgedIndex = Math.max(acknowledgedIndex, entry.index());
+        }
+    }
+
+    private String describe() {
+        StringBuilder text = new StringBuilder();
+        for (SimulatedReplica replica : replicas) {
+            text.append('\n').append(replica.member.replica());
+            text.append(" up ").append(replica.isUp());
+            if (replica.isUp()) {
+                text.append(' ').append(replica.core.role()).append(" term ").append(replica.core.term());
+                text.append(" last ").append(replica.core.lastIndex()).append(" commit ");
+                text.append(replica.core.commitIndex()).append(" voters ");
+                replica.core.membership().voters().forEach(voter -> text.append(voter.replica())
+                        .append(' '));
+                text.append("learners ");
+                replica.core.membership().learners().forEach(other -> text.append(other.replica())
+                        .append(' '));
+            }
+        }
+        return text.toString();
+    }
+
+    private void heal() throws IOException {
+        cuts.clear();
+        for (SimulatedReplica replica : replicas) {
+            replica.paused = false;
+            if (!replica.isUp()) {
+                replica.disk.crashAfter(-1);
+                replica.start();
+            }
+            replica.disk.crashAfter(-1);
+        }
+        for (int round = 0; round < 2_000; round++) {
+            advance(10);
+            for (SimulatedReplica replica : replicas) {
+                if (!replica.isUp()) {
+                    replica.start();
+                }
+            }
+        }
+        int before = commands;
+        replicas.forEach(this::propose);
+        for (int round = 0; round < 300; round++) {
+            advance(10);
+        }
+        Invariant.check(commands > before, () -> "no leader after everything was healed: " + describe());
+        long last = replicas.stream()
+                .mapToLong(replica -> replica.core.appliedIndex())
+                .max()
+                .orElseThrow();
+        Invariant.check(last >= acknowledgedIndex, () -> "an acknowledged entry is gone");
+        for (SimulatedReplica replica : replicas) {
+            Invariant.check(
+                    replica.core.membership().isVoter(replica.member.replica()) && replica.core.appliedIndex() == last,
+                    () -> replica.host + " did not catch up: " + replica.core.appliedIndex() + " of " + last + ", "
+                            + describe());
+        }
+    }
+}
