--- a/agent/src/main/java/org/bamboohatch/agent/AgentSettings.java
+++ b/agent/src/main/java/org/bamboohatch/agent/AgentSettings.java
@@ -14,6 +14,7 @@
  * @param host name of the host
  * @param zone availability zone of the host
  * @param listen address for the entries
+ * @param advertise address that the entries are told, or an empty text for the one listened on
  * @param target name of the target
  * @param service service that the target belongs to
  * @param driver plug-in that speaks with the target
@@ -31,6 +32,11 @@
         @Setting(description = "address for the entries, as IP:port")
         String listen,
 
+        @Setting(
+                description = "address that the entries are told, as IP:port; empty for the one listened on",
+                fallback = "\"\"")
+        String advertise,
+
         @Setting(description = "name of the target") TargetName target,
 
         @Setting(description = "service that the target belongs to")
--- a/agent/src/main/java/org/bamboohatch/agent/Announcer.java
+++ b/agent/src/main/java/org/bamboohatch/agent/Announcer.java
@@ -170,7 +170,7 @@
                 settings.service(),
                 settings.host(),
                 settings.zone(),
-                settings.listen(),
+                settings.advertise().isEmpty() ? settings.listen() : settings.advertise(),
                 incarnation,
                 models.get(),
                 settings.memoryTokens(),
--- a/agent/src/main/java/org/bamboohatch/agent/driver/CompletionsDriver.java
+++ b/agent/src/main/java/org/bamboohatch/agent/driver/CompletionsDriver.java
@@ -9,6 +9,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.bamboohatch.kernel.id.ModelName;
+import org.bamboohatch.kernel.stream.EventParser;
 import org.bamboohatch.protocol.message.AgentRequest.Dispatch;
 import org.bamboohatch.protocol.message.ControlReply.PlacementOrder;
 import org.bamboohatch.protocol.message.LoadedModel;
--- a/bin/lib/installation.sh
+++ b/bin/lib/installation.sh
@@ -4,9 +4,11 @@
 home=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
 run=${BAMBOOHATCH_RUN:-$home/run/$$}
 mkdir -p "$run"
+# Third number of the loopback addresses, so that two installations can run side by side.
+net=${BAMBOOHATCH_NET:-0}
 declare -A pids=()
-control_addresses="127.0.0.11:7000,127.0.0.12:7000,127.0.0.13:7000"
-control_list="[127.0.0.11:7000, 127.0.0.12:7000, 127.0.0.13:7000]"
+control_addresses="127.0.$net.11:7000,127.0.$net.12:7000,127.0.$net.13:7000"
+control_list="[127.0.$net.11:7000, 127.0.$net.12:7000, 127.0.$net.13:7000]"
 export BAMBOOHATCH_CONTROL=$control_addresses
 
 # Prints a line about what goes on.
@@ -48,7 +50,7 @@
   cat >"$run/control-$1.yaml" <<YAML
 host: control-$1
 zone: $(zone_of "$1")
-listen: 127.0.0.1$1:7000
+listen: 127.0.$net.1$1:7000
 dataFolder: $run/data-$1
 peers: $control_list
 snapshotEntries: ${BAMBOOHATCH_SNAPSHOT:-10000}
@@ -62,8 +64,8 @@
   cat >"$run/entry-$1.yaml" <<YAML
 host: entry-$1
 zone: $(zone_of "$1")
-http: 127.0.0.2$1:8080
-listen: 127.0.0.2$1:7100
+http: 127.0.$net.2$1:8080
+listen: 127.0.$net.2$1:7100
 control: ${3:-$control_list}
 policy: ${2:-fair-predicted}
 seed: 1
@@ -73,13 +75,13 @@
 
 # Starts a stand-in engine: number, further settings.
 start_engine() {
-  printf 'listen: 127.0.0.4%s:9000\nmodels: [glass@1]\n%s\n' "$1" "${2:-}" >"$run/engine-$1.yaml"
+  printf 'listen: 127.0.%s.4%s:9000\nmodels: [glass@1]\n%s\n' "$net" "$1" "${2:-}" >"$run/engine-$1.yaml"
   launch "engine-$1" "$home/bin/bamboohatch-standin" engine --settings "$run/engine-$1.yaml"
 }
 
 # Starts a stand-in plain service: number, delay in milliseconds.
 start_plain() {
-  printf 'listen: 127.0.0.5%s:9000\ndelayMillis: %s\n' "$1" "${2:-5}" >"$run/plain-$1.yaml"
+  printf 'listen: 127.0.%s.5%s:9000\ndelayMillis: %s\n' "$net" "$1" "${2:-5}" >"$run/plain-$1.yaml"
   launch "plain-$1" "$home/bin/bamboohatch-standin" plain --settings "$run/plain-$1.yaml"
 }
 
@@ -88,11 +90,11 @@
   cat >"$run/agent-$1.yaml" <<YAML
 host: engine-host-$1
 zone: $(zone_of "$1")
-listen: 127.0.0.6$1:7200
+listen: 127.0.$net.6$1:7200
 target: engine-$1
 service: assistant
 driver: completions
-targetUrl: http://127.0.0.4$1:9000
+targetUrl: http://127.0.$net.4$1:9000
 control: $control_list
 memoryTokens: ${2:-400000}
 YAML
@@ -104,11 +106,11 @@
   cat >"$run/plain-agent-$1.yaml" <<YAML
 host: plain-host-$1
 zone: $(zone_of "$1")
-listen: 127.0.0.7$1:7200
+listen: 127.0.$net.7$1:7200
 target: plain-$1
 service: portal
 driver: plain
-targetUrl: http://127.0.0.5$1:9000
+targetUrl: http://127.0.$net.5$1:9000
 control: ${2:-$control_list}
 memoryTokens: 0
 YAML
--- a/control/src/main/java/org/bamboohatch/control/server/ControlServer.java
+++ b/control/src/main/java/org/bamboohatch/control/server/ControlServer.java
@@ -126,7 +126,9 @@
 
     @Override
     public void handle(Message request, Exchange exchange) {
-        if (request instanceof ReplicaMessage message) {
+        if (request instanceof ReplicaMessage.Envelope envelope) {
+            replica.receive(envelope);
+        } else if (request instanceof ReplicaMessage message) {
             replica.receive(message);
         } else if (request instanceof GetEvents events) {
             Timeline timeline = network.timeline();
@@ -393,8 +395,8 @@
                 settings.host().value(),
                 core.role().name(),
                 core.term(),
-                core.commitIndex(),
-                core.appliedIndex(),
+                core.log().commitIndex(),
+                core.log().appliedIndex(),
                 core.membership().voters().stream().map(ControlServer::words).toList(),
                 core.membership().learners().stream().map(ControlServer::words).toList(),
                 machine.documents().services(),
--- /dev/null
+++ b/entry/src/test/java/org/bamboohatch/entry/request/CallerRequestTest.java
@@ -0,0 +1,154 @@
+package org.bamboohatch.entry.request;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.bamboohatch.kernel.id.AccountName;
+import org.bamboohatch.kernel.id.AttemptId;
+import org.bamboohatch.kernel.id.RequestId;
+import org.bamboohatch.kernel.id.ServiceName;
+import org.bamboohatch.kernel.outcome.ErrorCode;
+import org.bamboohatch.kernel.outcome.Refusal;
+import org.bamboohatch.kernel.service.Invariant;
+import org.bamboohatch.protocol.message.AgentReply.Chunk;
+import org.bamboohatch.routing.LengthClass;
+import org.bamboohatch.routing.WaitingRequest;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+class CallerRequestTest {
+
+    private static final AttemptId FIRST = new AttemptId("first");
+    private static final AttemptId SECOND = new AttemptId("second");
+
+    /** Keeps what a caller would see. */
+    private static final class RecordingSink implements CallerSink {
+        private final StringBuilder text = new StringBuilder();
+        private final List<String> ends = new ArrayList<>();
+
+        @Override
+        public void part(byte[] data, int tokens) {
+            text.append(new String(data, StandardCharsets.UTF_8));
+        }
+
+        @Override
+        public void complete(int status, String contentType, String finishReason) {
+            ends.add("complete");
+        }
+
+        @Override
+        public void refuse(Refusal refusal) {
+            ends.add(refusal.code().word());
+        }
+    }
+
+    private final RecordingSink sink = new RecordingSink();
+    private final CallerRequest request = new CallerRequest(
+            new CallerRequest.Description(
+                    new ServiceName("s"),
+                    null,
+                    new WaitingRequest(
+                            new RequestId("r"), new AccountName("a"), 1, LengthClass.UP_TO_2K, 1, 1, 0, 1_000),
+                    (attempt, priority, resumeFrom) -> null,
+                    Optional.empty(),
+                    "",
+                    false,
+                    1),
+            sink);
+
+    private CallerRequest.Delivery deliver(AttemptId attempt, long sequence, String text) {
+        return request.deliver(new Chunk(attempt, sequence, 1, text.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    @Example
+    void partsAreDeliveredInOrder() {
+        request.beginAttempt(FIRST);
+        assertThat(deliver(FIRST, 0, "a")).isEqualTo(CallerRequest.Delivery.FIRST);
+        assertThat(deliver(FIRST, 1, "b")).isEqualTo(CallerRequest.Delivery.DELIVERED);
+        assertThat(sink.text).hasToString("ab");
+    }
+
+    @Example
+    void aRepeatedPartIsDropped() {
+        request.beginAttempt(FIRST);
+        deliver(FIRST, 0, "a");
+        assertThat(deliver(FIRST, 0, "a")).isEqualTo(CallerRequest.Delivery.DROPPED);
+        assertThat(sink.text).hasToString("a");
+    }
+
+    @Example
+    void aPartAheadOfItsTurnIsAGap() {
+        request.beginAttempt(FIRST);
+        assertThat(deliver(FIRST, 1, "b")).isEqualTo(CallerRequest.Delivery.GAP);
+    }
+
+    @Example
+    void latePartsOfAnAbandonedAttemptAreDropped() {
+        request.beginAttempt(FIRST);
+        deliver(FIRST, 0, "a");
+        request.beginAttempt(SECOND);
+        assertThat(deliver(FIRST, 1, "x")).isEqualTo(CallerRequest.Delivery.DROPPED);
+        deliver(SECOND, 0, "b");
+        assertThat(sink.text).hasToString("ab");
+        assertThat(request.deliveredTokens()).isEqualTo(2);
+    }
+
+    @Example
+    void anAnswerThatIsNotWholeBreaksAnInvariant() {
+        request.beginAttempt(FIRST);
+        deliver(FIRST, 0, "a");
+        assertThatThrownBy(() -> request.complete(FIRST, 2, 200, "text/plain", "stop"))
+                .isInstanceOf(Invariant.Broken.class);
+    }
+
+    @Example
+    void aRequestEndsOnce() {
+        request.beginAttempt(FIRST);
+        assertThat(request.complete(FIRST, 0, 200, "text/plain", "stop")).isTrue();
+        assertThat(request.refuse(Refusal.notRun(ErrorCode.OVERLOADED, "late"))).isFalse();
+        assertThat(deliver(FIRST, 0, "a")).isEqualTo(CallerRequest.Delivery.DROPPED);
+        assertThat(sink.ends).containsExactly("complete");
+    }
+
+    @Property(tries = 200, seed = "20261204", shrinking = ShrinkingMode.OFF)
+    void resumedAttemptsGiveEachTokenOnceAndInOrder(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        int whole = 40;
+        List<Chunk> under = new ArrayList<>();
+        for (int attempt = 0; attempt < 5 && request.deliveredTokens() < whole; attempt++) {
+            AttemptId id = new AttemptId("attempt-" + attempt);
+            request.beginAttempt(id);
+            int from = (int) request.deliveredTokens();
+            int until = attempt == 4 ? whole : from + random.nextInt(whole - from + 1);
+            List<Chunk> sent = new ArrayList<>();
+            for (int token = from; token < until; token++) {
+                sent.add(new Chunk(id, token - from, 1, (token + " ").getBytes(StandardCharsets.UTF_8)));
+            }
+            List<Chunk> arriving = new ArrayList<>(under);
+            Collections.shuffle(arriving, new java.util.Random(seed));
+            for (Chunk chunk : sent) {
+                if (!arriving.isEmpty() && random.nextBoolean()) {
+                    request.deliver(arriving.remove(0));
+                }
+                request.deliver(chunk);
+                if (random.nextInt(5) == 0) {
+                    request.deliver(chunk);
+                }
+            }
+            under.addAll(sent);
+        }
+        String expected = java.util.stream.IntStream.range(0, whole)
+                .mapToObj(token -> token + " ")
+                .collect(java.util.stream.Collectors.joining());
+        assertThat(sink.text).hasToString(expected);
+    }
+}
--- a/agent/src/main/java/org/bamboohatch/agent/driver/EventParser.java
+++ b/kernel/src/main/java/org/bamboohatch/kernel/stream/EventParser.java
@@ -1,4 +1,4 @@
-package org.bamboohatch.agent.driver;
+package org.bamboohatch.kernel.stream;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
@@ -6,7 +6,7 @@
 import java.util.function.Consumer;
 
 /** Cuts a response of server-sent events into the data of its events. */
-final class EventParser {
+public final class EventParser {
 
     /** Begins the data of an event. */
     private static final String DATA_PREFIX = "data:";
@@ -22,7 +22,7 @@
      *
      * @param events takes the data of each event
      */
-    EventParser(Consumer<String> events) {
+    public EventParser(Consumer<String> events) {
         this.events = events;
     }
 
@@ -31,7 +31,7 @@
      *
      * @param part the part
      */
-    void take(ByteBuffer part) {
+    public void take(ByteBuffer part) {
         while (part.hasRemaining()) {
             byte next = part.get();
             if (next == '\n') {
--- a/protocol/src/main/java/org/bamboohatch/protocol/message/MessageCodec.java
+++ b/protocol/src/main/java/org/bamboohatch/protocol/message/MessageCodec.java
@@ -79,7 +79,7 @@
      * @throws IOException if the bytes are malformed
      */
     public <T> T decode(byte[] bytes, Class<T> type) throws IOException {
-        return mapper.readValue(bytes, type);
+        return guarded(() -> mapper.readValue(bytes, type));
     }
 
     /**
@@ -92,6 +92,39 @@
      * @throws IOException if the bytes are malformed
      */
     public <T> T decode(InputStream stream, Class<T> type) throws IOException {
-        return mapper.readValue(stream, type);
+        return guarded(() -> mapper.readValue(stream, type));
+    }
+
+    /** Reads a value; what the codec throws for malformed bytes is not checked. */
+    @FunctionalInterface
+    private interface Reading<T> {
+
+        /**
+         * Reads the value.
+         *
+         * @return the value
+         * @throws IOException if the bytes are malformed
+         */
+        T read() throws IOException;
+    }
+
+    /**
+     * Reads a value and turns every failure of the codec into a checked one.
+     *
+     * @param reading reads the value
+     * @param <T> the type of the value
+     * @return the value, never null
+     * @throws IOException if the bytes are malformed
+     */
+    private static <T> T guarded(Reading<T> reading) throws IOException {
+        try {
+            T value = reading.read();
+            if (value == null) {
+                throw new IOException("malformed message: nothing in it");
+            }
+            return value;
+        } catch (RuntimeException malformed) {
+            throw new IOException("malformed message: " + malformed.getMessage(), malformed);
+        }
     }
 }
--- a/replication/src/main/java/org/bamboohatch/replication/consensus/ConsensusCore.java
+++ b/replication/src/main/java/org/bamboohatch/replication/consensus/ConsensusCore.java
@@ -15,6 +15,7 @@
 import org.bamboohatch.replication.message.ReplicaMessage;
 import org.bamboohatch.replication.message.ReplicaMessage.AppendReply;
 import org.bamboohatch.replication.message.ReplicaMessage.AppendRequest;
+import org.bamboohatch.replication.message.ReplicaMessage.Envelope;
 import org.bamboohatch.replication.message.ReplicaMessage.JoinRequest;
 import org.bamboohatch.replication.message.ReplicaMessage.SnapshotRequest;
 import org.bamboohatch.replication.message.ReplicaMessage.VoteReply;
@@ -114,12 +115,16 @@
     }
 
     /**
-     * Takes a message.
+     * Takes a message that is addressed to this replica; others are dropped.
      *
-     * @param message the message
+     * @param envelope the message
      * @param now the present time
      */
-    public void receive(ReplicaMessage message, long now) {
+    public void receive(Envelope envelope, long now) {
+        ReplicaMessage message = envelope.message();
+        if (!envelope.to().equals(self)) {
+            return;
+        }
         if (message instanceof VoteRequest request) {
             answerVote(request, now);
         } else if (message instanceof VoteReply reply) {
@@ -130,7 +135,17 @@
             answerSnapshot(request, now);
         } else if (message instanceof AppendReply reply) {
             takeAppendReply(reply, now);
-        } else if (message instanceof JoinRequest request && role == Role.LEADER) {
+        }
+    }
+
+    /**
+     * Takes a replica in, if this is the leader.
+     *
+     * @param request the replica
+     * @param now the present time
+     */
+    public void join(JoinRequest request, long now) {
+        if (role == Role.LEADER) {
             leadership.join(request.member(), request.replaces(), now);
         }
     }
@@ -172,26 +187,6 @@
         return log.drain();
     }
 
-    /**
-     * Takes the next committed entry for the state machine.
-     *
-     * @return the entry, if there is one
-     */
-    public Optional<LogEntry> nextCommitted() {
-        return log.nextCommitted();
-    }
-
-    /**
-     * Replaces the applied part of the log by a snapshot.
-     *
-     * @param state the state of the state machine after the last applied entry
-     * @param retained entries to keep for slow followers
-     * @return the snapshot to make durable
-     */
-    public Snapshot compact(byte[] state, int retained) {
-        return log.compact(state, retained);
-    }
-
     /**
      * Tells whether this replica may answer reads from its applied state.
      *
@@ -214,48 +209,12 @@
     }
 
     /**
-     * Returns the index of the first entry held in memory.
-     *
-     * @return the index
-     */
-    public long firstIndex() {
-        return log.entries().firstIndex();
-    }
-
-    /**
-     * Returns the index of the last entry.
-     *
-     * @return the index
-     */
-    public long lastIndex() {
-        return log.entries().lastIndex();
-    }
-
-    /**
-     * Returns the index of the last committed entry.
-     *
-     * @return the index
-     */
-    public long commitIndex() {
-        return log.commitIndex();
-    }
-
-    /**
-     * Returns the index of the last applied entry.
-     *
-     * @return the index
-     */
-    public long appliedIndex() {
-        return log.appliedIndex();
-    }
-
-    /**
-     * Returns the last snapshot.
+     * Returns the log.
      *
-     * @return the snapshot
+     * @return the log of this replica
      */
-    public Snapshot snapshot() {
-        return log.entries().snapshot();
+    public ReplicaLog log() {
+        return log;
     }
 
     /**
--- a/replication/src/main/java/org/bamboohatch/replication/consensus/ReplicaLog.java
+++ b/replication/src/main/java/org/bamboohatch/replication/consensus/ReplicaLog.java
@@ -10,7 +10,7 @@
 import org.bamboohatch.replication.message.Snapshot;
 
 /** The log of one replica with its memberships and its progress in committing and applying. */
-final class ReplicaLog {
+public final class ReplicaLog {
 
     /** The entries. */
     private final MemoryLog log;
@@ -51,6 +51,33 @@
         return log;
     }
 
+    /**
+     * Returns the index of the first entry held in memory.
+     *
+     * @return the index
+     */
+    public long firstIndex() {
+        return log.firstIndex();
+    }
+
+    /**
+     * Returns the index of the last entry.
+     *
+     * @return the index
+     */
+    public long lastIndex() {
+        return log.lastIndex();
+    }
+
+    /**
+     * Returns the last snapshot.
+     *
+     * @return the snapshot
+     */
+    public Snapshot snapshot() {
+        return log.snapshot();
+    }
+
     /**
      * Returns what is to be done.
      *
@@ -94,7 +121,7 @@
      *
      * @return the index
      */
-    long commitIndex() {
+    public long commitIndex() {
         return commitIndex;
     }
 
@@ -103,7 +130,7 @@
      *
      * @return the index
      */
-    long appliedIndex() {
+    public long appliedIndex() {
         return appliedIndex;
     }
 
@@ -121,7 +148,7 @@
      *
      * @return the entry, if there is one
      */
-    Optional<LogEntry> nextCommitted() {
+    public Optional<LogEntry> nextCommitted() {
         if (appliedIndex >= commitIndex) {
             return Optional.empty();
         }
@@ -215,7 +242,7 @@
      * @param retained entries to keep for slow followers
      * @return the snapshot to make durable
      */
-    Snapshot compact(byte[] state, int retained) {
+    public Snapshot compact(byte[] state, int retained) {
         Snapshot snapshot = new Snapshot(appliedIndex, log.term(appliedIndex), memberships.at(appliedIndex), state);
         log.compact(snapshot, retained);
         return snapshot;
--- a/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaService.java
+++ b/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaService.java
@@ -17,6 +17,7 @@
 import org.apache.logging.log4j.Logger;
 import org.bamboohatch.kernel.service.Invariant;
 import org.bamboohatch.kernel.service.Service;
+import org.bamboohatch.protocol.message.Message;
 import org.bamboohatch.protocol.transport.Connection;
 import org.bamboohatch.protocol.transport.Link;
 import org.bamboohatch.protocol.transport.Network;
@@ -27,6 +28,7 @@
 import org.bamboohatch.replication.message.LogEntry;
 import org.bamboohatch.replication.message.Member;
 import org.bamboohatch.replication.message.ReplicaMessage;
+import org.bamboohatch.replication.message.ReplicaMessage.Envelope;
 import org.bamboohatch.replication.message.ReplicaMessage.Formation;
 import org.bamboohatch.replication.message.ReplicaMessage.JoinRequest;
 import org.bamboohatch.replication.message.ReplicaMessage.Probe;
@@ -163,7 +165,11 @@
                 now());
         stepper = new ReplicaStepper(core, store, machine, settings.snapshotEntries());
         founding = new Founding(self, settings.peers());
-        LOGGER.info("replica: {} begins at index {} of term {}", self.replica(), core.lastIndex(), core.term());
+        LOGGER.info(
+                "replica: {} begins at index {} of term {}",
+                self.replica(),
+                core.log().lastIndex(),
+                core.term());
     }
 
     @Override
@@ -182,7 +188,7 @@
     }
 
     /**
-     * Takes a message from another replica.
+     * Takes a message from another replica that is not part of the consensus.
      *
      * @param message the message
      */
@@ -190,6 +196,15 @@
         inbox.add(() -> take(message));
     }
 
+    /**
+     * Takes a message of the consensus.
+     *
+     * @param envelope the message
+     */
+    public void receive(Envelope envelope) {
+        inbox.add(() -> core.receive(envelope, now()));
+    }
+
     /**
      * Runs a task on the replica's thread.
      *
@@ -318,24 +333,37 @@
      */
     private void take(ReplicaMessage message) {
         if (message instanceof Probe probe) {
-            boolean formed = core.lastIndex() > 0;
+            boolean formed = core.log().lastIndex() > 0;
             send(probe.member().address(), new ProbeReply(self.replica(), self, formed));
-            if (formed && core.membership().isVoter(probe.from()) && Founding.isFounding(core.snapshot())) {
-                send(probe.member().address(), new Formation(self.replica(), core.snapshot()));
+            if (formed
+                    && core.membership().isVoter(probe.from())
+                    && Founding.isFounding(core.log().snapshot())) {
+                send(
+                        probe.member().address(),
+                        new Formation(self.replica(), core.log().snapshot()));
             }
         } else if (message instanceof ProbeReply reply) {
             founding.take(reply);
         } else if (message instanceof Formation formation) {
-            if (core.lastIndex() == 0 && formation.founding().membership().isVoter(self.replica())) {
+            if (core.log().lastIndex() == 0 && formation.founding().membership().isVoter(self.replica())) {
                 form(formation.founding());
             }
-        } else if (message instanceof JoinRequest join && core.role() != Role.LEADER) {
-            String leader = leaderAddress();
-            if (!leader.isEmpty()) {
-                send(leader, join);
-            }
-        } else {
-            core.receive(message, now());
+        } else if (message instanceof JoinRequest join) {
+            join(join);
+        }
+    }
+
+    /**
+     * Takes a replica in, or passes its request on to the leader.
+     *
+     * @param request the request
+     */
+    private void join(JoinRequest request) {
+        String leader = leaderAddress();
+        if (core.role() == Role.LEADER) {
+            core.join(request, now());
+        } else if (!leader.isEmpty()) {
+            send(leader, request);
         }
     }
 
@@ -350,7 +378,7 @@
         for (Member member : founding.formed()) {
             send(member.address(), new JoinRequest(self.replica(), self, settings.replaces()));
         }
-        if (core.lastIndex() > 0) {
+        if (core.log().lastIndex() > 0) {
             return;
         }
         founding.foundingSnapshot().ifPresent(snapshot -> {
@@ -382,7 +410,9 @@
      * @param outgoing the message and its receiver
      */
     private void send(Outgoing outgoing) {
-        core.membership().find(outgoing.to()).ifPresent(member -> send(member.address(), outgoing.message()));
+        core.membership()
+                .find(outgoing.to())
+                .ifPresent(member -> send(member.address(), new Envelope(outgoing.to(), outgoing.message())));
     }
 
     /**
@@ -391,7 +421,7 @@
      * @param address address of the receiver
      * @param message the message
      */
-    private void send(String address, ReplicaMessage message) {
+    private void send(String address, Message message) {
         Link link = links.computeIfAbsent(address, added -> new Link(network, added, status -> {}));
         CompletableFuture<Connection> connection = link.connect();
         if (connection.isDone() && !connection.isCompletedExceptionally()) {
--- a/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaStepper.java
+++ b/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaStepper.java
@@ -76,7 +76,7 @@
             if (effects.needsDisk()) {
                 persist(effects);
             }
-            core.persisted(core.lastIndex(), now);
+            core.persisted(core.log().lastIndex(), now);
             effects.late().forEach(transport);
             more = applyCommitted(listener);
         }
@@ -112,16 +112,18 @@
      */
     private boolean applyCommitted(AppliedListener listener) throws IOException {
         boolean any = false;
-        for (Optional<LogEntry> next = core.nextCommitted(); next.isPresent(); next = core.nextCommitted()) {
+        for (Optional<LogEntry> next = core.log().nextCommitted();
+                next.isPresent();
+                next = core.log().nextCommitted()) {
             LogEntry entry = next.get();
             any = true;
             boolean command = entry.kind() == EntryKind.COMMAND;
             Object result = command ? machine.apply(entry.index(), entry.data()) : null;
             listener.onApplied(entry, result);
         }
-        if (core.appliedIndex() - core.snapshot().index() >= snapshotEntries) {
-            Snapshot snapshot = core.compact(machine.snapshot(), snapshotEntries / 2);
-            store.compact(snapshot, core.firstIndex(), core.lastIndex() + 1);
+        if (core.log().appliedIndex() - core.log().snapshot().index() >= snapshotEntries) {
+            Snapshot snapshot = core.log().compact(machine.snapshot(), snapshotEntries / 2);
+            store.compact(snapshot, core.log().firstIndex(), core.log().lastIndex() + 1);
         }
         return any;
     }
--- a/replication/src/main/java/org/bamboohatch/replication/message/ReplicaMessage.java
+++ b/replication/src/main/java/org/bamboohatch/replication/message/ReplicaMessage.java
@@ -118,6 +118,15 @@
      */
     record Formation(ReplicaId from, Snapshot founding) implements ReplicaMessage {}
 
+    /**
+     * Carries a message of the consensus to one replica. A replica that took the place of the addressed one on the
+     * same host drops it.
+     *
+     * @param to the addressed replica
+     * @param message the message
+     */
+    record Envelope(ReplicaId to, ReplicaMessage message) implements Message {}
+
     /** Registers the messages of this module. */
     final class Catalog implements MessageCatalog {
 
@@ -137,7 +146,8 @@
                     JoinRequest.class,
                     Probe.class,
                     ProbeReply.class,
-                    Formation.class);
+                    Formation.class,
+                    Envelope.class);
         }
     }
 }
--- a/replication/src/test/java/org/bamboohatch/replication/consensus/ConsensusCoreTest.java
+++ b/replication/src/test/java/org/bamboohatch/replication/consensus/ConsensusCoreTest.java
@@ -5,9 +5,14 @@
 
 import org.bamboohatch.kernel.id.HostName;
 import org.bamboohatch.kernel.id.ReplicaId;
+import org.bamboohatch.replication.message.EntryKind;
+import org.bamboohatch.replication.message.LogEntry;
 import org.bamboohatch.replication.message.Member;
 import org.bamboohatch.replication.message.Membership;
+import org.bamboohatch.replication.message.ReplicaMessage;
+import org.bamboohatch.replication.message.ReplicaMessage.AppendReply;
 import org.bamboohatch.replication.message.ReplicaMessage.AppendRequest;
+import org.bamboohatch.replication.message.ReplicaMessage.Envelope;
 import org.bamboohatch.replication.message.ReplicaMessage.VoteReply;
 import org.bamboohatch.replication.message.ReplicaMessage.VoteRequest;
 import org.bamboohatch.replication.message.Snapshot;
@@ -25,7 +30,14 @@
         return new Member(new ReplicaId(number), new HostName("host-" + number), "127.0.0.1:" + number);
     }
 
-    private static ConsensusCore core(Member self, Membership membership) {
+    private ReplicaId addressee = ONE.replica();
+
+    private Envelope addressed(ReplicaMessage message) {
+        return new Envelope(addressee, message);
+    }
+
+    private ConsensusCore core(Member self, Membership membership) {
+        addressee = self.replica();
         Snapshot founding = new Snapshot(1, 0, membership, new byte[0]);
         return new ConsensusCore(
                 self.replica(), Timing.DEFAULT, new SplittableRandom(1), HardState.INITIAL, founding, List.of(), 0);
@@ -48,31 +60,31 @@
     @Test
     void aLearnerVotesBecauseItMayHaveBeenMadeAVoter() {
         ConsensusCore core = core(THREE, new Membership(List.of(ONE, TWO), List.of(THREE)));
-        core.receive(request(ONE, 1), 700);
+        core.receive(addressed(request(ONE, 1)), 700);
         assertThat(granted(core)).isTrue();
     }
 
     @Test
     void noVoteIsGivenRightAfterTheStart() {
         ConsensusCore core = core(ONE, new Membership(List.of(ONE, TWO, THREE), List.of()));
-        core.receive(request(TWO, 1), 100);
+        core.receive(addressed(request(TWO, 1)), 100);
         assertThat(granted(core)).isFalse();
     }
 
     @Test
     void noVoteIsGivenWhileTheLeaderLives() {
         ConsensusCore core = core(ONE, new Membership(List.of(ONE, TWO, THREE), List.of()));
-        core.receive(new AppendRequest(TWO.replica(), 1, 1, 0, List.of(), 1, 0), 1_000);
-        core.receive(request(THREE, 2), 1_100);
+        core.receive(addressed(new AppendRequest(TWO.replica(), 1, 1, 0, List.of(), 1, 0)), 1_000);
+        core.receive(addressed(request(THREE, 2)), 1_100);
         assertThat(granted(core)).isFalse();
     }
 
     @Test
     void oneVoteIsGivenInATerm() {
         ConsensusCore core = core(ONE, new Membership(List.of(ONE, TWO, THREE), List.of()));
-        core.receive(request(TWO, 1), 700);
+        core.receive(addressed(request(TWO, 1)), 700);
         assertThat(granted(core)).isTrue();
-        core.receive(request(THREE, 1), 701);
+        core.receive(addressed(request(THREE, 1)), 701);
         assertThat(granted(core)).isFalse();
     }
 
@@ -81,9 +93,9 @@
         ConsensusCore core = core(ONE, new Membership(List.of(ONE), List.of()));
         core.tick(2_000);
         assertThat(core.role()).isEqualTo(Role.LEADER);
-        assertThat(core.commitIndex()).isEqualTo(1);
-        core.persisted(core.lastIndex(), 2_000);
-        assertThat(core.commitIndex()).isEqualTo(2);
+        assertThat(core.log().commitIndex()).isEqualTo(1);
+        core.persisted(core.log().lastIndex(), 2_000);
+        assertThat(core.log().commitIndex()).isEqualTo(2);
     }
 
     @Test
@@ -91,9 +103,9 @@
         ConsensusCore core = core(ONE, new Membership(List.of(ONE), List.of()));
         core.tick(2_000);
         assertThat(core.mayRead(2_000)).isFalse();
-        core.persisted(core.lastIndex(), 2_000);
-        while (core.nextCommitted().isPresent()) {
-            assertThat(core.appliedIndex()).isPositive();
+        core.persisted(core.log().lastIndex(), 2_000);
+        while (core.log().nextCommitted().isPresent()) {
+            assertThat(core.log().appliedIndex()).isPositive();
         }
         assertThat(core.mayRead(2_000)).isTrue();
     }
@@ -101,8 +113,41 @@
     @Test
     void aLearnerWithoutALeaderAsksToBeTakenInAgain() {
         ConsensusCore core = core(THREE, new Membership(List.of(ONE, TWO), List.of(THREE)));
-        core.receive(new AppendRequest(ONE.replica(), 1, 1, 0, List.of(), 1, 0), 1_000);
+        core.receive(addressed(new AppendRequest(ONE.replica(), 1, 1, 0, List.of(), 1, 0)), 1_000);
         assertThat(core.isOutside(1_100)).isFalse();
         assertThat(core.isOutside(1_001 + Timing.DEFAULT.electionMaximum())).isTrue();
     }
+
+    @Test
+    void entriesOfOlderTermsAreNotCommittedByCounting() {
+        Membership membership = new Membership(List.of(ONE, TWO, THREE), List.of());
+        Snapshot founding = new Snapshot(1, 0, membership, new byte[0]);
+        LogEntry old = new LogEntry(2, 1, EntryKind.COMMAND, new byte[] {1});
+        ConsensusCore core = new ConsensusCore(
+                ONE.replica(),
+                Timing.DEFAULT,
+                new SplittableRandom(1),
+                new HardState(1, null),
+                founding,
+                List.of(old),
+                0);
+        core.tick(2_000);
+        core.receive(addressed(new VoteReply(TWO.replica(), 2, 1, true, true)), 2_001);
+        core.receive(addressed(new VoteReply(TWO.replica(), 2, 2, false, true)), 2_002);
+        assertThat(core.role()).isEqualTo(Role.LEADER);
+        core.receive(addressed(new AppendReply(TWO.replica(), 2, true, 2, 2_002)), 2_003);
+        assertThat(core.log().commitIndex()).isEqualTo(1);
+        core.persisted(core.log().lastIndex(), 2_004);
+        core.receive(addressed(new AppendReply(TWO.replica(), 2, true, 3, 2_004)), 2_005);
+        assertThat(core.log().commitIndex()).isEqualTo(3);
+    }
+
+    @Test
+    void aMessageToTheReplicaThatRanHereBeforeIsDropped() {
+        ConsensusCore core = core(THREE, new Membership(List.of(ONE, TWO), List.of()));
+        addressee = new ReplicaId("3-before");
+        core.receive(addressed(new AppendRequest(ONE.replica(), 1, 1, 0, List.of(), 1, 0)), 2_000);
+        assertThat(core.drain().late()).isEmpty();
+        assertThat(core.isOutside(2_001)).isTrue();
+    }
 }
--- a/replication/src/test/java/org/bamboohatch/replication/simulation/SimulatedCluster.java
+++ b/replication/src/test/java/org/bamboohatch/replication/simulation/SimulatedCluster.java
@@ -7,10 +7,12 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 
+import org.bamboohatch.kernel.id.HostName;
 import org.bamboohatch.kernel.id.ReplicaId;
 import org.bamboohatch.kernel.service.Invariant;
 import org.bamboohatch.replication.consensus.Outgoing;
@@ -19,6 +21,7 @@
 import org.bamboohatch.replication.message.Member;
 import org.bamboohatch.replication.message.Membership;
 import org.bamboohatch.replication.message.ReplicaMessage;
+import org.bamboohatch.replication.message.ReplicaMessage.Envelope;
 import org.bamboohatch.replication.message.ReplicaMessage.JoinRequest;
 import org.bamboohatch.replication.message.Snapshot;
 import org.bamboohatch.replication.storage.FakeDisk;
@@ -30,7 +33,7 @@
 public final class SimulatedCluster {
 
     /** A message under way. */
-    private record Flight(long arrival, SimulatedReplica from, ReplicaId to, ReplicaMessage message) {}
+    private record Flight(long arrival, HostName host, ReplicaId to, ReplicaMessage message) {}
 
     /** A command that was acknowledged. */
     private record Acknowledged(long index, long term) {}
@@ -133,9 +136,10 @@
         boolean repaired = replicas.stream()
                 .filter(SimulatedReplica::isUp)
                 .filter(other -> other.core.mayRead(other.now()))
-                .anyMatch(leader -> leader.core.commitIndex() == leader.core.lastIndex()
-                        && leader.core.membership().voters().size() == replicas.size()
-                        && leader.core.membership().voters().stream().allMatch(this::lives));
+                .anyMatch(leader ->
+                        leader.core.log().commitIndex() == leader.core.log().lastIndex()
+                                && leader.core.membership().voters().size() == replicas.size()
+                                && leader.core.membership().voters().stream().allMatch(this::lives));
         if (repaired) {
             lostDisks++;
             replica.crash();
@@ -166,11 +170,15 @@
 
     private void deliver(SimulatedReplica replica) {
         List<Flight> due = flights.stream()
-                .filter(flight -> flight.arrival <= now && flight.to.equals(replica.member.replica()))
+                .filter(flight -> flight.arrival <= now && flight.host.equals(replica.host))
                 .toList();
         flights.removeAll(due);
         for (Flight flight : due) {
-            replica.core.receive(flight.message, replica.now());
+            if (flight.message instanceof JoinRequest request) {
+                replica.core.join(request, replica.now());
+            } else {
+                replica.core.receive(new Envelope(flight.to, flight.message), replica.now());
+            }
         }
     }
 
@@ -180,7 +188,7 @@
                 if (other.isUp()) {
                     flights.add(new Flight(
                             now + 5,
-                            replica,
+                            other.host,
                             other.member.replica(),
                             new JoinRequest(replica.member.replica(), replica.member, replica.host)));
                 }
@@ -194,11 +202,22 @@
             boolean lost = random.nextInt(100) < 4 || isCut(from, outgoing.to());
             if (!lost) {
                 long delay = random.nextInt(100) < 5 ? random.nextInt(400) : random.nextInt(1, 12);
-                flights.add(new Flight(now + delay, from, outgoing.to(), outgoing.message()));
+                host(outgoing.to())
+                        .ifPresent(
+                                host -> flights.add(new Flight(now + delay, host, outgoing.to(), outgoing.message())));
             }
         }
     }
 
+    /** A message goes to the host whose replica is meant, also when another replica runs there now. */
+    private Optional<HostName> host(ReplicaId replica) {
+        String name = replica.value().substring(0, replica.value().lastIndexOf('-'));
+        return replicas.stream()
+                .map(other -> other.host)
+                .filter(host -> host.value().equals(name))
+                .findFirst();
+    }
+
     private boolean isCut(SimulatedReplica from, ReplicaId to) {
         return replicas.stream()
                 .filter(replica -> replica.member.replica().equals(to))
@@ -214,7 +233,7 @@
         }
         if (replica.core.mayRead(replica.now())) {
             Invariant.check(
-                    replica.core.appliedIndex() >= acknowledgedIndex,
+                    replica.core.log().appliedIndex() >= acknowledgedIndex,
                     () -> "a read would miss the acknowledged entry " + acknowledgedIndex);
         }
     }
@@ -242,8 +261,8 @@
             text.append(" up ").append(replica.isUp());
             if (replica.isUp()) {
                 text.append(' ').append(replica.core.role()).append(" term ").append(replica.core.term());
-                text.append(" last ").append(replica.core.lastIndex()).append(" commit ");
-                text.append(replica.core.commitIndex()).append(" voters ");
+                text.append(" last ").append(replica.core.log().lastIndex()).append(" commit ");
+                text.append(replica.core.log().commitIndex()).append(" voters ");
                 replica.core.membership().voters().forEach(voter -> text.append(voter.replica())
                         .append(' '));
                 text.append("learners ");
@@ -279,15 +298,16 @@
         }
         Invariant.check(commands > before, () -> "no leader after everything was healed: " + describe());
         long last = replicas.stream()
-                .mapToLong(replica -> replica.core.appliedIndex())
+                .mapToLong(replica -> replica.core.log().appliedIndex())
                 .max()
                 .orElseThrow();
         Invariant.check(last >= acknowledgedIndex, () -> "an acknowledged entry is gone");
         for (SimulatedReplica replica : replicas) {
             Invariant.check(
-                    replica.core.membership().isVoter(replica.member.replica()) && replica.core.appliedIndex() == last,
-                    () -> replica.host + " did not catch up: " + replica.core.appliedIndex() + " of " + last + ", "
-                            + describe());
+                    replica.core.membership().isVoter(replica.member.replica())
+                            && replica.core.log().appliedIndex() == last,
+                    () -> replica.host + " did not catch up: "
+                            + replica.core.log().appliedIndex() + " of " + last + ", " + describe());
         }
     }
 }
--- /dev/null
+++ b/routing/src/test/java/org/bamboohatch/routing/queue/QueueOrderTest.java
@@ -0,0 +1,108 @@
+package org.bamboohatch.routing.queue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.bamboohatch.routing.Requests;
+import org.bamboohatch.routing.WaitingRequest;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class QueueOrderTest {
+
+    /** The longest request in {@link #accountsInBacklogAreServedEqually}, in tokens; the bound of their difference. */
+    private static final long LONGEST_TOKENS = 30_010;
+
+    private final ServedTokens served = new ServedTokens();
+
+    private WaitingRequest first(List<WaitingRequest> waiting, long now) {
+        return QueueOrder.ForFairShares.INSTANCE
+                .candidates(waiting, served, now)
+                .get(0);
+    }
+
+    @Example
+    void theLeastServedAccountComesFirst() {
+        served.serve(Requests.of("a", 1_000, 0, 60_000));
+        WaitingRequest ofA = Requests.of("a", 100, 0, 60_000);
+        WaitingRequest ofB = Requests.of("b", 9_000, 1, 60_000);
+        assertThat(first(List.of(ofA, ofB), 10)).isEqualTo(ofB);
+    }
+
+    @Example
+    void withinAnAccountTheShorterComesFirst() {
+        WaitingRequest longer = Requests.of("a", 90_000, 0, 600_000);
+        WaitingRequest shorter = Requests.of("a", 1_000, 5, 600_000);
+        assertThat(first(List.of(longer, shorter), 10)).isEqualTo(shorter);
+    }
+
+    @Example
+    void waitingMakesALongRequestUrgent() {
+        WaitingRequest longer = Requests.of("a", 90_000, 0, 600_000);
+        WaitingRequest shorter = Requests.of("a", 1_000, 8_000, 600_000);
+        assertThat(first(List.of(longer, shorter), 8_000)).isEqualTo(longer);
+    }
+
+    @Example
+    void aRequestCloseToItsDeadlineComesFirst() {
+        WaitingRequest due = Requests.of("a", 30_000, 0, 1_000);
+        WaitingRequest shorter = Requests.of("a", 1_000, 0, 60_000);
+        assertThat(first(List.of(shorter, due), 800)).isEqualTo(due);
+    }
+
+    @Example
+    void firstComeFirstServedOffersOnlyTheFirst() {
+        List<WaitingRequest> waiting = List.of(Requests.of("a", 90_000, 0, 1), Requests.of("b", 1, 1, 1));
+        assertThat(QueueOrder.ForArrival.INSTANCE.candidates(waiting, served, 0))
+                .containsExactly(waiting.get(0));
+    }
+
+    @Example
+    void anIdleAccountDoesNotSaveUpItsShare() {
+        for (int number = 0; number < 100; number++) {
+            WaitingRequest busy = Requests.of("busy", 1_000, 0, 60_000);
+            first(List.of(busy), 0);
+            served.serve(busy);
+        }
+        first(List.of(Requests.of("busy", 1_000, 0, 60_000)), 0);
+        assertThat(served.level(Requests.of("idle", 1, 0, 1).account())).isGreaterThan(90_000);
+    }
+
+    @Property(tries = 50, seed = "20261204", shrinking = ShrinkingMode.OFF)
+    void accountsInBacklogAreServedEqually(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<WaitingRequest> waiting = new ArrayList<>();
+        Map<String, Long> tokens = new HashMap<>(Map.of("a", 0L, "b", 0L, "flood", 0L));
+        for (int step = 0; step < 500; step++) {
+            while (waiting.stream()
+                            .filter(request -> request.account().value().equals("a"))
+                            .count()
+                    < 3) {
+                waiting.add(Requests.of("a", 1_000 + random.nextInt(1_000), step, step + 600_000));
+            }
+            while (waiting.stream()
+                            .filter(request -> request.account().value().equals("b"))
+                            .count()
+                    < 3) {
+                waiting.add(Requests.of("b", 1 + random.nextInt(5_000), step, step + 600_000));
+            }
+            waiting.add(Requests.of("flood", 20_000 + random.nextInt(10_000), step, step + 600_000));
+            WaitingRequest next = first(waiting, step);
+            waiting.remove(next);
+            served.serve(next);
+            tokens.merge(next.account().value(), (long) next.weightedTokens(), Long::sum);
+            long most =
+                    tokens.values().stream().mapToLong(Long::longValue).max().orElseThrow();
+            long least =
+                    tokens.values().stream().mapToLong(Long::longValue).min().orElseThrow();
+            assertThat(most - least).isLessThanOrEqualTo(2 * LONGEST_TOKENS);
+        }
+    }
+}
--- /dev/null
+++ b/routing/src/test/java/org/bamboohatch/routing/retry/TargetHealthTest.java
@@ -0,0 +1,63 @@
+package org.bamboohatch.routing.retry;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class TargetHealthTest {
+
+    private static TargetHealth ejected() {
+        return TargetHealth.GOOD.failed(0).failed(0).failed(0);
+    }
+
+    @Test
+    void aSingleFailureDoesNotLeaveATargetOut() {
+        assertThat(TargetHealth.GOOD.failed(0).isAvailable(0)).isTrue();
+    }
+
+    @Test
+    void failuresInARowLeaveATargetOutForAWhile() {
+        assertThat(ejected().isAvailable(499)).isFalse();
+        assertThat(ejected().isAvailable(500)).isTrue();
+    }
+
+    @Test
+    void oneRequestProbesATargetThatWasLeftOut() {
+        assertThat(ejected().dispatched().isAvailable(500)).isFalse();
+        assertThat(ejected().dispatched().succeeded().isAvailable(500)).isTrue();
+    }
+
+    @Test
+    void aFailedProbeLeavesTheTargetOutForLonger() {
+        TargetHealth again = ejected().dispatched().failed(500);
+        assertThat(again.isAvailable(1_400)).isFalse();
+        assertThat(again.isAvailable(1_500)).isTrue();
+    }
+
+    @Test
+    void retriesAreAPartOfTheSuccesses() {
+        RetryBudget budget = RetryBudget.INITIAL;
+        while (budget.covers()) {
+            budget = budget.spend();
+        }
+        for (int success = 0; success < 11; success++) {
+            budget = budget.earn();
+        }
+        assertThat(budget.covers()).isTrue();
+        assertThat(budget.spend().covers()).isFalse();
+    }
+
+    @Test
+    void pausesGrowAndAreDrawnFromZeroUp() {
+        SplittableRandom random = new SplittableRandom(1);
+        List<Long> pauses = IntStream.range(0, 1_000)
+                .mapToObj(draw -> Backoff.pauseMillis(3, random))
+                .toList();
+        assertThat(pauses).allMatch(pause -> pause >= 0 && pause <= 80);
+        assertThat(Backoff.pauseMillis(60, random)).isLessThanOrEqualTo(1_000);
+    }
+}
--- /dev/null
+++ b/routing/src/test/java/org/bamboohatch/routing/target/TargetChoiceTest.java
@@ -0,0 +1,133 @@
+package org.bamboohatch.routing.target;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+import org.bamboohatch.kernel.id.HostName;
+import org.bamboohatch.kernel.id.TargetName;
+import org.bamboohatch.routing.Requests;
+import org.bamboohatch.routing.WaitingRequest;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class TargetChoiceTest {
+
+    private static final WaitingRequest SHORT = Requests.of("a", 1_000, 0, 60_000);
+    private static final WaitingRequest LONG = Requests.of("a", 100_000, 0, 60_000);
+
+    private static TargetView view(
+            String name,
+            boolean sameZone,
+            long held,
+            long heldByLong,
+            int runs,
+            long waitingUrgent,
+            boolean available) {
+        return new TargetView(
+                new TargetName(name),
+                sameZone,
+                400_000,
+                held,
+                heldByLong,
+                runs,
+                64,
+                List.of(waitingUrgent, 0L, 0L, 0L, 0L),
+                0.02,
+                available);
+    }
+
+    private static Optional<String> choose(WaitingRequest request, TargetView... targets) {
+        return TargetChoice.ForPrediction.INSTANCE
+                .choose(request, List.of(targets), 0.5, 0)
+                .map(target -> target.name().value());
+    }
+
+    @Test
+    void theShortestWaitIsChosen() {
+        assertThat(choose(SHORT, view("a", true, 0, 0, 1, 5_000, true), view("b", true, 0, 0, 1, 100, true)))
+                .contains("b");
+    }
+
+    @Test
+    void theOwnZoneIsChosenWhenWaitsAreEqual() {
+        assertThat(choose(SHORT, view("a", false, 0, 0, 0, 0, true), view("b", true, 0, 0, 0, 0, true)))
+                .contains("b");
+    }
+
+    @Test
+    void aRequestStaysInTheQueueRatherThanBehindMuchWork() {
+        assertThat(choose(SHORT, view("a", true, 0, 0, 3, 50_000, true))).isEmpty();
+    }
+
+    @Test
+    void nothingGoesToATargetThatIsNotAvailable() {
+        assertThat(choose(SHORT, view("a", true, 0, 0, 0, 0, false))).isEmpty();
+    }
+
+    @Test
+    void nothingGoesToATargetWithoutMemory() {
+        assertThat(choose(SHORT, view("a", true, 399_500, 0, 1, 0, true))).isEmpty();
+    }
+
+    @Test
+    void longPromptsKeepToTheirShare() {
+        assertThat(choose(LONG, view("a", true, 150_000, 150_000, 1, 0, true))).isEmpty();
+        assertThat(choose(LONG, view("a", true, 50_000, 50_000, 1, 0, true))).contains("a");
+    }
+
+    @Test
+    void aLongPromptMayGoToATargetWithoutOtherLongOnes() {
+        WaitingRequest longest = Requests.of("a", 390_000, 0, 60_000);
+        assertThat(choose(longest, view("a", true, 0, 0, 0, 0, true))).contains("a");
+    }
+
+    @Test
+    void turnsAreTaken() {
+        TargetView[] views = {view("a", true, 0, 0, 0, 0, true), view("b", true, 0, 0, 0, 0, true)};
+        assertThat(IntStream.range(0, 4)
+                        .mapToObj(turn -> TargetChoice.ForTurns.INSTANCE.choose(SHORT, List.of(views), 1, turn))
+                        .map(target -> target.orElseThrow().name().value()))
+                .containsExactly("a", "b", "a", "b");
+    }
+
+    @Test
+    void theFewestRunsAreChosen() {
+        List<TargetView> views = List.of(view("a", true, 0, 0, 2, 0, true), view("b", false, 0, 0, 1, 0, true));
+        assertThat(TargetChoice.ForFewestRuns.INSTANCE
+                        .choose(SHORT, views, 1, 0)
+                        .orElseThrow()
+                        .name()
+                        .value())
+                .isEqualTo("b");
+    }
+
+    @Test
+    void aSubsetChangesByTheComingTargetOnly() {
+        List<TargetName> many = IntStream.range(0, 200)
+                .mapToObj(number -> new TargetName("t" + number))
+                .toList();
+        List<TargetName> before = TargetSubset.select(new HostName("entry"), many);
+        List<TargetName> after = TargetSubset.select(
+                new HostName("entry"),
+                Stream.concat(many.stream(), Stream.of(new TargetName("new"))).toList());
+        assertThat(before).hasSize(TargetSubset.MAX_TARGETS);
+        assertThat(after.stream().filter(name -> !before.contains(name)).count())
+                .isLessThanOrEqualTo(1);
+    }
+
+    @Test
+    void subsetsSpreadOverTheTargets() {
+        List<TargetName> many = IntStream.range(0, 48)
+                .mapToObj(number -> new TargetName("t" + number))
+                .toList();
+        int[] uses = new int[many.size()];
+        for (int entry = 0; entry < 100; entry++) {
+            TargetSubset.select(new HostName("entry-" + entry), many).forEach(name -> uses[many.indexOf(name)]++);
+        }
+        assertThat(IntStream.of(uses).min().orElseThrow()).isGreaterThan(25);
+        assertThat(IntStream.of(uses).max().orElseThrow()).isLessThan(75);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/bamboohatch/standin/load/LoadSettings.java
@@ -0,0 +1,105 @@
+package org.bamboohatch.standin.load;
+
+import java.util.List;
+
+import org.bamboohatch.kernel.settings.Setting;
+
+/**
+ * Settings of the load driver.
+ *
+ * @param urls addresses that requests are sent to in turn
+ * @param seed seed of arrivals and lengths
+ * @param model the model
+ * @param phases the arrival rates one after the other
+ * @param shapes kinds of request
+ * @param keys API keys of the accounts, used with equal chances
+ * @param warmupSeconds time at the beginning that is not counted
+ * @param csv file for one line a request, or an empty text
+ */
+public record LoadSettings(
+        @Setting(description = "addresses that requests are sent to in turn, as http://IP:port")
+        List<String> urls,
+
+        @Setting(description = "seed of arrivals and lengths", min = 0, max = 1e15, fallback = "1")
+        long seed,
+
+        @Setting(description = "the model", fallback = "glass")
+        String model,
+
+        @Setting(description = "arrival rates one after the other")
+        List<Phase> phases,
+
+        @Setting(description = "kinds of request") List<Shape> shapes,
+
+        @Setting(description = "API keys of the accounts", fallback = "[demo-key]")
+        List<String> keys,
+
+        @Setting(
+                description = "time at the beginning that is not counted",
+                unit = "seconds",
+                min = 0,
+                max = 3600,
+                fallback = "0")
+        double warmupSeconds,
+
+        @Setting(description = "file for one line a request; empty for none", fallback = "\"\"")
+        String csv) {
+
+    /** Makes the lists immutable. */
+    public LoadSettings {
+        urls = List.copyOf(urls);
+        phases = List.copyOf(phases);
+        shapes = List.copyOf(shapes);
+        keys = List.copyOf(keys);
+    }
+
+    /**
+     * A time with one arrival rate.
+     *
+     * @param seconds length of the phase
+     * @param rate arrivals a second
+     */
+    public record Phase(
+            @Setting(description = "length of the phase", unit = "seconds", min = 0, max = 86_400)
+            double seconds,
+
+            @Setting(description = "arrivals", unit = "requests a second", min = 0, max = 100_000)
+            double rate) {}
+
+    /**
+     * A kind of request.
+     *
+     * @param name name in the results
+     * @param weight chance relative to the other kinds
+     * @param minimumTokens shortest prompt
+     * @param maximumTokens longest prompt
+     * @param outputTokens length of the answer
+     * @param timeoutSeconds time within which the answer must be whole
+     * @param silent whether arrivals of this kind are drawn but not sent
+     */
+    public record Shape(
+            @Setting(description = "name in the results") String name,
+
+            @Setting(description = "chance relative to the other kinds", min = 0, max = 1e6)
+            double weight,
+
+            @Setting(description = "shortest prompt", unit = "tokens", min = 1, max = 4e6)
+            long minimumTokens,
+
+            @Setting(description = "longest prompt", unit = "tokens", min = 1, max = 4e6)
+            long maximumTokens,
+
+            @Setting(description = "length of the answer", unit = "tokens", min = 1, max = 1e6, fallback = "32")
+            long outputTokens,
+
+            @Setting(
+                    description = "time within which the answer must be whole",
+                    unit = "seconds",
+                    min = 0.01,
+                    max = 86_400,
+                    fallback = "30")
+            double timeoutSeconds,
+
+            @Setting(description = "whether arrivals are drawn but not sent", fallback = "false")
+            boolean silent) {}
+}
