Retries that cost nothing when nothing ran; first polls of a new leader are answered at once

Cause: scenario connection_silent refused 132 of 207 orders after connections went silent. The time line showed "the agent has forgotten the attempt" taken for three failures of the target, which was then left out, and a retry budget spent on attempts that never reached a target. rolling_restart refused 28 of 521 orders with not_ready: a new leader held the first poll of each entry back for half a second, while the entry's freshness ran out. Ruled out: the time to notice silence (1.5 s, as intended); the relay (new connections worked at once). Change: reasons to retry are REFUSED, RULED_OUT and FAILED, only the last spends from the budget; an unknown attempt is not a failure of the target; the first poll that a leader hears is answered at once; requests whose time is used up by the wait at the targets are given up at once. Left: handing leadership over at a planned stop would take these away.

--- a/control/src/main/java/org/bamboohatch/control/membership/HolderRegistry.java
+++ b/control/src/main/java/org/bamboohatch/control/membership/HolderRegistry.java
@@ -61,9 +61,10 @@
      * @param isEntry whether it admits requests
      * @param revision the revision that it applies
      * @param now the present time
+     * @return whether the holder was not known before
      */
-    public void hear(String name, ZoneName zone, boolean isEntry, long revision, long now) {
-        holders.put(name, new Holder(zone, isEntry, revision, now));
+    public boolean hear(String name, ZoneName zone, boolean isEntry, long revision, long now) {
+        return holders.put(name, new Holder(zone, isEntry, revision, now)) == null;
     }
 
     /**
--- a/control/src/main/java/org/bamboohatch/control/server/ControlServer.java
+++ b/control/src/main/java/org/bamboohatch/control/server/ControlServer.java
@@ -251,17 +251,19 @@
     }
 
     /**
-     * Answers a poll when something changed or its time has run out.
+     * Answers a poll when something changed or its time has run out. The first poll that a new leader hears is
+     * answered at once, because the holder has to show soon that its copy is fresh.
      *
      * @param poll the poll
      * @param exchange takes the reply
      */
     private void poll(Poll poll, Exchange exchange) {
         long now = ReplicaService.now();
-        leader.holders().hear(poll.holder().value(), poll.zone(), true, poll.appliedRevision(), now);
+        boolean firstContact =
+                leader.holders().hear(poll.holder().value(), poll.zone(), true, poll.appliedRevision(), now);
         waiting.add(
                 now + POLL_HOLD_MS,
-                () -> mayRead() && answers.hasNews(poll, leader, ReplicaService.now()),
+                () -> mayRead() && (firstContact || answers.hasNews(poll, leader, ReplicaService.now())),
                 () -> exchange.end(mayRead() ? answers.changes(poll, leader, ReplicaService.now()) : notLeader()));
         waiting.release(now, true);
     }
--- a/entry/src/main/java/org/bamboohatch/entry/dispatch/Attempt.java
+++ b/entry/src/main/java/org/bamboohatch/entry/dispatch/Attempt.java
@@ -13,7 +13,6 @@
 import org.bamboohatch.protocol.message.AgentReply.Claimed;
 import org.bamboohatch.protocol.message.AgentReply.Completed;
 import org.bamboohatch.protocol.message.AgentReply.Failed;
-import org.bamboohatch.protocol.message.AgentReply.RefusalReason;
 import org.bamboohatch.protocol.message.AgentReply.Refused;
 import org.bamboohatch.protocol.message.AgentRequest.Dispatch;
 import org.bamboohatch.protocol.message.AgentRequest.Resume;
@@ -159,16 +158,12 @@
      * @param refused the refusal
      */
     private void refused(Refused refused) {
-        if (refused.reason() == RefusalReason.UNKNOWN_ATTEMPT) {
-            gone("the agent has forgotten the attempt");
-            return;
-        }
         endAtTarget();
         if (refused.reason().isNotRun() || request.description().claim().isEmpty()) {
             dispatcher.retry(
                     pool,
                     request,
-                    false,
+                    RetryReason.REFUSED,
                     Refusal.notRun(ErrorCode.NO_TARGET, "No target could take the request.")
                             .withRetryAfter(TARGET_LOST_RETRY));
         } else {
@@ -210,7 +205,11 @@
                 .withRetryAfter(TARGET_LOST_RETRY);
         boolean claim = request.description().claim().isPresent();
         if (!claim || failed.outcome() == RunOutcome.NOT_RUN) {
-            dispatcher.retry(pool, request, true, failure);
+            dispatcher.retry(
+                    pool,
+                    request,
+                    failed.outcome() == RunOutcome.NOT_RUN ? RetryReason.RULED_OUT : RetryReason.FAILED,
+                    failure);
         } else {
             dispatcher.settle(request, pool, ConfigurationStore.now());
         }
@@ -242,7 +241,10 @@
                                 .withRetryAfter(Duration.ofMinutes(1)));
             default ->
                 dispatcher.retry(
-                        pool, request, true, Refusal.notRun(ErrorCode.TARGET_FAILED, "The attempt was abandoned."));
+                        pool,
+                        request,
+                        RetryReason.RULED_OUT,
+                        Refusal.notRun(ErrorCode.TARGET_FAILED, "The attempt was abandoned."));
         }
     }
 
@@ -259,7 +261,7 @@
             dispatcher.retry(
                     pool,
                     request,
-                    true,
+                    RetryReason.RULED_OUT,
                     Refusal.notRun(ErrorCode.NO_TARGET, "The target could not be reached: " + reason)
                             .withRetryAfter(TARGET_LOST_RETRY));
         }
@@ -307,7 +309,7 @@
             dispatcher.retry(
                     pool,
                     request,
-                    true,
+                    RetryReason.FAILED,
                     Refusal.notRun(ErrorCode.TARGET_FAILED, "The target was lost: " + reason)
                             .withOutcome(RunOutcome.FAILED)
                             .withRetryAfter(TARGET_LOST_RETRY));
--- a/entry/src/main/java/org/bamboohatch/entry/dispatch/Dispatcher.java
+++ b/entry/src/main/java/org/bamboohatch/entry/dispatch/Dispatcher.java
@@ -357,26 +357,27 @@
      *
      * @param pool the pool
      * @param request the request, whose last attempt certainly cannot be completed
-     * @param costs whether the retry spends from the budget
+     * @param reason why it is tried again
      * @param failure the error if it is not tried again
      */
-    void retry(ServicePool pool, CallerRequest request, boolean costs, Refusal failure) {
+    void retry(ServicePool pool, CallerRequest request, RetryReason reason, Refusal failure) {
         if (request.isEnded()) {
             return;
         }
         request.dropAttempt();
         long now = ConfigurationStore.now();
+        boolean keyLacks = reason.needsKey()
+                && request.description().claim().isPresent()
+                && !request.description().keyGiven();
         boolean allowed = request.attempts() < MAX_ATTEMPTS
                 && now < request.deadline()
-                && (!costs || pool.budget().covers())
-                && (!costs
-                        || request.description().claim().isEmpty()
-                        || request.description().keyGiven());
+                && !keyLacks
+                && (!reason.spendsBudget() || pool.budget().covers());
         if (!allowed) {
             refuse(request, failure);
             return;
         }
-        if (costs) {
+        if (reason.spendsBudget()) {
             pool.budget(pool.budget().spend());
         }
         request.waitUntil(now + Backoff.pauseMillis(Math.min(request.attempts(), MAX_ATTEMPTS), random));
@@ -435,7 +436,7 @@
             retry(
                     pool,
                     request,
-                    true,
+                    RetryReason.RULED_OUT,
                     Refusal.notRun(ErrorCode.TARGET_FAILED, "The request did not run because its target failed.")
                             .withRetryAfter(Duration.ofSeconds(1)));
         } else {
--- a/protocol/src/main/java/org/bamboohatch/protocol/message/MessageCodec.java
+++ b/protocol/src/main/java/org/bamboohatch/protocol/message/MessageCodec.java
@@ -25,7 +25,7 @@
     private MessageCodec() {
         mapper = new ObjectMapper(new MessagePackFactory().setReuseResourceInGenerator(false));
         mapper.configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
-        mapper.setSerializationInclusion(JsonInclude.Include.NON_NULL);
+        mapper.setDefaultPropertyInclusion(JsonInclude.Include.NON_NULL);
         Plugins<MessageCatalog> catalogs = Plugins.load(MessageCatalog.class);
         for (String name : catalogs.names()) {
             for (Class<? extends Message> type :
--- a/routing/src/main/java/org/bamboohatch/routing/admission/Admission.java
+++ b/routing/src/main/java/org/bamboohatch/routing/admission/Admission.java
@@ -93,7 +93,9 @@
 
         @Override
         public boolean isHopeless(WaitingRequest request, PoolView pool, long now) {
-            return now + ownMillis(request, pool) > request.deadline();
+            double needed = ownMillis(request, pool)
+                    + pool.shortestWaitMillis(request.lengthClass().priority());
+            return needed > (request.deadline() - now) * SAFE_PART;
         }
 
         /**
--- a/standin/src/main/java/org/bamboohatch/standin/orders/OrderMain.java
+++ b/standin/src/main/java/org/bamboohatch/standin/orders/OrderMain.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -55,6 +56,9 @@
     /** The HTTP client. */
     private final HttpClient client = new HttpClient();
 
+    /** Tries that ended with an error, by its code. */
+    private final Map<String, Integer> errors = new ConcurrentHashMap<>();
+
     /** The orders. */
     private final List<Order> orders = new ArrayList<>();
 
@@ -169,11 +173,12 @@
      * @return the end of the try
      * @throws IOException if the body is malformed
      */
-    private static Order.Answer answer(int status, String text) throws IOException {
+    private Order.Answer answer(int status, String text) throws IOException {
         if (status >= 200 && status < 300) {
             return Order.Answer.DONE;
         }
         JsonNode error = JsonResponse.MAPPER.readTree(text).path("error");
+        errors.merge(error.path("code").asText(), 1, Integer::sum);
         boolean notRun = error.path("outcome").asText().equals("not-run");
         return notRun ? Order.Answer.NOT_RUN : Order.Answer.UNKNOWN;
     }
@@ -206,7 +211,7 @@
                 .forEach(done::recordValue);
         System.out.printf(
                 "orders %d, answered %d, told not run %d, unknown %d, ran %d, violations %d; "
-                        + "answer p50 %.1f ms p99 %.1f ms, slowest try %.0f ms%n",
+                        + "answer p50 %.1f ms p99 %.1f ms, slowest try %.0f ms; errors %s%n",
                 orders.size(),
                 orders.stream().filter(Order::isDone).count(),
                 orders.stream().filter(Order::isNotRun).count(),
@@ -217,7 +222,8 @@
                 violations.size(),
                 done.getValueAtPercentile(50),
                 done.getValueAtPercentile(99),
-                orders.stream().mapToDouble(Order::slowestMillis).max().orElse(0));
+                orders.stream().mapToDouble(Order::slowestMillis).max().orElse(0),
+                errors);
         return violations.isEmpty();
     }
 
