Tests of the agent's runs, pages for operators and developers, configuration page from the code

Cause: the agent's handling of claims, resumes and cancels was proved with real processes only; there were no pages.

--- a/agent/src/main/java/org/bamboohatch/agent/AgentModule.java
+++ b/agent/src/main/java/org/bamboohatch/agent/AgentModule.java
@@ -7,6 +7,7 @@
 import org.bamboohatch.agent.driver.TargetDriver;
 import org.bamboohatch.kernel.event.Timeline;
 import org.bamboohatch.kernel.plugin.Plugins;
+import org.bamboohatch.protocol.client.ControlCalls;
 import org.bamboohatch.protocol.client.ControlClient;
 import org.bamboohatch.protocol.transport.Network;
 import org.eclipse.jetty.client.HttpClient;
@@ -66,7 +67,7 @@
      */
     @Provides
     @Singleton
-    static ControlClient control(AgentSettings settings, Network network) {
+    static ControlCalls control(AgentSettings settings, Network network) {
         return new ControlClient(network, settings.control());
     }
 
--- a/agent/src/main/java/org/bamboohatch/agent/Announcer.java
+++ b/agent/src/main/java/org/bamboohatch/agent/Announcer.java
@@ -18,7 +18,7 @@
 import org.bamboohatch.agent.driver.TargetState;
 import org.bamboohatch.agent.run.AttemptRunner;
 import org.bamboohatch.kernel.service.Service;
-import org.bamboohatch.protocol.client.ControlClient;
+import org.bamboohatch.protocol.client.ControlCalls;
 import org.bamboohatch.protocol.message.ControlReply;
 import org.bamboohatch.protocol.message.ControlReply.Announced;
 import org.bamboohatch.protocol.message.ControlRequest.Announce;
@@ -52,7 +52,7 @@
     private final AgentSettings settings;
 
     /** The control processes. */
-    private final ControlClient control;
+    private final ControlCalls control;
 
     /** The target. */
     private final TargetDriver.Target target;
@@ -97,7 +97,7 @@
     @Inject
     public Announcer(
             AgentSettings settings,
-            ControlClient control,
+            ControlCalls control,
             TargetDriver.Target target,
             AttemptRunner runner,
             AgentServer server,
--- a/agent/src/main/java/org/bamboohatch/agent/run/AttemptRunner.java
+++ b/agent/src/main/java/org/bamboohatch/agent/run/AttemptRunner.java
@@ -24,7 +24,7 @@
 import org.bamboohatch.kernel.id.AttemptId;
 import org.bamboohatch.kernel.outcome.Result;
 import org.bamboohatch.kernel.outcome.RunOutcome;
-import org.bamboohatch.protocol.client.ControlClient;
+import org.bamboohatch.protocol.client.ControlCalls;
 import org.bamboohatch.protocol.message.AgentReply;
 import org.bamboohatch.protocol.message.AgentReply.RefusalReason;
 import org.bamboohatch.protocol.message.AgentRequest.Dispatch;
@@ -56,7 +56,7 @@
     private final TargetDriver.Target target;
 
     /** The control processes. */
-    private final ControlClient control;
+    private final ControlCalls control;
 
     /** The time line of the process. */
     private final Timeline timeline;
@@ -79,7 +79,7 @@
      * @param timeline the time line of the process
      */
     @Inject
-    public AttemptRunner(AgentSettings settings, TargetDriver.Target target, ControlClient control, Timeline timeline) {
+    public AttemptRunner(AgentSettings settings, TargetDriver.Target target, ControlCalls control, Timeline timeline) {
         this.target = target;
         this.control = control;
         this.timeline = timeline;
--- a/bin/lib/control-measures.sh
+++ b/bin/lib/control-measures.sh
@@ -55,9 +55,10 @@
   end control-$n TERM
   printf 'claims: 10000\n' | control_load changes >/dev/null
   printf 'follow: 127.0.%s.1%s:7000\n' "$net" "$n" | control_load follow &
+  follower=$!
   sleep 2
   start_control "$n"
-  wait %% || true
+  wait $follower || true
 }
 
 measure_control_cost() {
--- /dev/null
+++ b/distribution/src/test/java/org/bamboohatch/distribution/ConfigurationPage.java
@@ -0,0 +1,43 @@
+package org.bamboohatch.distribution;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import org.bamboohatch.agent.AgentSettings;
+import org.bamboohatch.control.ControlSettings;
+import org.bamboohatch.document.ServiceDocument;
+import org.bamboohatch.entry.EntrySettings;
+import org.bamboohatch.kernel.settings.SettingsPage;
+
+/** Writes docs/CONFIGURATION.md from the code. */
+public final class ConfigurationPage {
+
+    static final Path PAGE = Path.of("..", "docs", "CONFIGURATION.md");
+
+    private ConfigurationPage() {}
+
+    /** Writes the page; run in the folder of the module. */
+    public static void main(String[] arguments) throws IOException {
+        Files.writeString(PAGE, render());
+    }
+
+    static String render() {
+        return """
+                # Configuration
+
+                Written from the code; `ConfigurationPageTest` compares. Every file is YAML. Unknown keys and values out of
+                range are refused, all errors at once, with file, line and path.
+
+                ## Service document
+
+                """
+                + SettingsPage.table(ServiceDocument.class)
+                + "\n## bamboohatch-control\n\n"
+                + SettingsPage.table(ControlSettings.class)
+                + "\n## bamboohatch-entry\n\n"
+                + SettingsPage.table(EntrySettings.class)
+                + "\n## bamboohatch-agent\n\n"
+                + SettingsPage.table(AgentSettings.class);
+    }
+}
--- /dev/null
+++ b/distribution/src/test/java/org/bamboohatch/distribution/ConfigurationPageTest.java
@@ -0,0 +1,16 @@
+package org.bamboohatch.distribution;
+
+import java.io.IOException;
+import java.nio.file.Files;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ConfigurationPageTest {
+
+    @Test
+    void thePageIsWhatTheCodeSays() throws IOException {
+        assertThat(Files.readString(ConfigurationPage.PAGE)).isEqualTo(ConfigurationPage.render());
+    }
+}
--- a/entry/src/main/java/org/bamboohatch/entry/EntryModule.java
+++ b/entry/src/main/java/org/bamboohatch/entry/EntryModule.java
@@ -7,6 +7,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import org.bamboohatch.kernel.event.Timeline;
+import org.bamboohatch.protocol.client.ControlCalls;
 import org.bamboohatch.protocol.client.ControlClient;
 import org.bamboohatch.protocol.transport.Network;
 
@@ -56,7 +57,7 @@
      */
     @Provides
     @Singleton
-    static ControlClient control(EntrySettings settings, Network network) {
+    static ControlCalls control(EntrySettings settings, Network network) {
         return new ControlClient(network, settings.control());
     }
 
--- a/entry/src/main/java/org/bamboohatch/entry/configuration/ConfigurationStore.java
+++ b/entry/src/main/java/org/bamboohatch/entry/configuration/ConfigurationStore.java
@@ -13,7 +13,7 @@
 import org.apache.logging.log4j.Logger;
 import org.bamboohatch.entry.EntrySettings;
 import org.bamboohatch.kernel.service.Service;
-import org.bamboohatch.protocol.client.ControlClient;
+import org.bamboohatch.protocol.client.ControlCalls;
 import org.bamboohatch.protocol.message.ControlReply;
 import org.bamboohatch.protocol.message.ControlReply.Changes;
 import org.bamboohatch.protocol.message.ControlRequest.Poll;
@@ -36,7 +36,7 @@
     private final EntrySettings settings;
 
     /** The control processes. */
-    private final ControlClient control;
+    private final ControlCalls control;
 
     /** The network threads. */
     private final Network network;
@@ -58,7 +58,7 @@
      * @param network the network threads
      */
     @Inject
-    public ConfigurationStore(EntrySettings settings, ControlClient control, Network network) {
+    public ConfigurationStore(EntrySettings settings, ControlCalls control, Network network) {
         this.settings = settings;
         this.control = control;
         this.network = network;
--- a/entry/src/main/java/org/bamboohatch/entry/dispatch/RunSettlement.java
+++ b/entry/src/main/java/org/bamboohatch/entry/dispatch/RunSettlement.java
@@ -10,7 +10,7 @@
 import org.bamboohatch.entry.request.CallerRequest;
 import org.bamboohatch.kernel.id.AttemptId;
 import org.bamboohatch.kernel.id.RunKey;
-import org.bamboohatch.protocol.client.ControlClient;
+import org.bamboohatch.protocol.client.ControlCalls;
 import org.bamboohatch.protocol.message.ControlReply;
 import org.bamboohatch.protocol.message.ControlReply.Run;
 import org.bamboohatch.protocol.message.ControlRequest.AbandonRun;
@@ -26,7 +26,7 @@
     private static final long LOOKUP_INTERVAL_MS = 100;
 
     /** The control processes. */
-    private final ControlClient control;
+    private final ControlCalls control;
 
     /** The network threads. */
     private final Network network;
@@ -38,7 +38,7 @@
      * @param network the network threads
      */
     @Inject
-    public RunSettlement(ControlClient control, Network network) {
+    public RunSettlement(ControlCalls control, Network network) {
         this.control = control;
         this.network = network;
     }
--- a/kernel/src/main/java/org/bamboohatch/kernel/settings/SettingsChecker.java
+++ b/kernel/src/main/java/org/bamboohatch/kernel/settings/SettingsChecker.java
@@ -208,7 +208,7 @@
      * @param bound the bound
      * @return the bound without a needless fraction
      */
-    private static String bound(double bound) {
+    static String bound(double bound) {
         return bound == Math.rint(bound) && !Double.isInfinite(bound)
                 ? Long.toString((long) bound)
                 : Double.toString(bound);
--- a/protocol/src/main/java/org/bamboohatch/protocol/client/ControlClient.java
+++ b/protocol/src/main/java/org/bamboohatch/protocol/client/ControlClient.java
@@ -17,7 +17,7 @@
  * Sends requests to the control process that leads. Every control request may be sent again, so a request whose
  * reply is lost is repeated until its time runs out.
  */
-public final class ControlClient {
+public final class ControlClient implements ControlCalls {
 
     /** Time for one reply, in milliseconds. */
     private static final long TRY_TIMEOUT_MS = 1_500;
@@ -52,13 +52,7 @@
         this.leader = new AtomicReference<>(addresses.get(0));
     }
 
-    /**
-     * Sends a request until it is answered by the leader.
-     *
-     * @param request the request
-     * @param timeout the time for all tries
-     * @return the reply; {@link ControlReply.Undecided} if the time ran out
-     */
+    @Override
     public CompletableFuture<ControlReply> call(ControlRequest request, Duration timeout) {
         CompletableFuture<ControlReply> answer = new CompletableFuture<>();
         attempt(request, nowMillis() + timeout.toMillis(), answer);
