Retry budget with a reserve that fills with time; smaller messages and subsets

A budget of a tenth of the successes had run dry after the second kill. Ruled out: the resume at another engine (the other 103 were whole and right, none wrong); memory (both engines back to zero). Change: a reserve of 10 retries fills with 5 a second; beyond it the budget stays a tenth of the successes. The test of the spread keeps its relative bounds and takes the mean from the constant.

--- a/entry/src/main/java/org/bamboohatch/entry/dispatch/Dispatcher.java
+++ b/entry/src/main/java/org/bamboohatch/entry/dispatch/Dispatcher.java
@@ -311,6 +311,7 @@
         }
         request.dropAttempt();
         long now = ConfigurationStore.now();
+        pool.budget(pool.budget().at(now));
         boolean keyLacks = reason.needsKey()
                 && request.description().claim().isPresent()
                 && !request.description().keyGiven();
--- a/protocol/src/main/java/org/bamboohatch/protocol/message/AgentReply.java
+++ b/protocol/src/main/java/org/bamboohatch/protocol/message/AgentReply.java
@@ -1,5 +1,7 @@
 package org.bamboohatch.protocol.message;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonPropertyOrder;
 import org.bamboohatch.kernel.id.AttemptId;
 import org.bamboohatch.kernel.outcome.RunOutcome;
 
@@ -12,6 +14,8 @@
      * @param load the load
      * @param revision the configuration revision that the agent applies
      */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    @JsonPropertyOrder({"load", "revision"})
     record LoadReport(Load load, long revision) implements AgentReply {}
 
     /**
@@ -87,6 +91,8 @@
      * @param tokens the number of answer tokens in the data
      * @param data the data
      */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    @JsonPropertyOrder({"attempt", "sequence", "tokens", "data"})
     record Chunk(AttemptId attempt, long sequence, int tokens, byte[] data) implements AgentReply {}
 
     /**
--- a/protocol/src/main/java/org/bamboohatch/protocol/message/ConnectionMessage.java
+++ b/protocol/src/main/java/org/bamboohatch/protocol/message/ConnectionMessage.java
@@ -1,5 +1,8 @@
 package org.bamboohatch.protocol.message;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonPropertyOrder;
+
 /** Messages that keep a connection alive. */
 public sealed interface ConnectionMessage extends Message {
 
@@ -11,5 +14,7 @@
      *
      * @param status what the server tells with each sign of life, or null
      */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    @JsonPropertyOrder({"status"})
     record Pong(Message status) implements ConnectionMessage {}
 }
--- a/protocol/src/main/java/org/bamboohatch/protocol/message/Load.java
+++ b/protocol/src/main/java/org/bamboohatch/protocol/message/Load.java
@@ -2,6 +2,9 @@
 
 import java.util.List;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonPropertyOrder;
+
 /**
  * Load of a target as its agent sees it.
  *
@@ -11,6 +14,8 @@
  * @param millisPerPromptToken prefill time, in milliseconds a token
  * @param draining whether the target takes no new work
  */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+@JsonPropertyOrder({"runs", "reservedTokens", "waitingTokens", "millisPerPromptToken", "draining"})
 public record Load(
         int runs, long reservedTokens, List<Long> waitingTokens, double millisPerPromptToken, boolean draining) {
 
--- a/routing/src/main/java/org/bamboohatch/routing/retry/RetryBudget.java
+++ b/routing/src/main/java/org/bamboohatch/routing/retry/RetryBudget.java
@@ -1,11 +1,13 @@
 package org.bamboohatch.routing.retry;
 
 /**
- * Retries that may still be made: each success earns a part of one, so that retries cannot multiply an overload.
+ * Retries that may still be made: each success earns a part of one, so that retries cannot multiply an overload. A
+ * small reserve fills up with time, so that a service with few requests can retry too.
  *
  * @param tokens retries that may be made now
+ * @param filledAt time at which the reserve was last filled, in milliseconds
  */
-public record RetryBudget(double tokens) {
+public record RetryBudget(double tokens, long filledAt) {
 
     /** Retries that a success earns. */
     private static final double EARNED_PER_SUCCESS = 0.1;
@@ -13,8 +15,25 @@
     /** Retries at most. */
     private static final double MAX_TOKENS = 50;
 
+    /** Retries up to which the reserve fills with time. */
+    private static final double RESERVE_TOKENS = 10;
+
+    /** Retries a millisecond with which the reserve fills. */
+    private static final double FILL_PER_MS = 0.005;
+
     /** The budget at the start. */
-    public static final RetryBudget INITIAL = new RetryBudget(10);
+    public static final RetryBudget INITIAL = new RetryBudget(RESERVE_TOKENS, 0);
+
+    /**
+     * Fills the reserve.
+     *
+     * @param now the present time, in milliseconds
+     * @return the new budget
+     */
+    public RetryBudget at(long now) {
+        double filled = Math.min(RESERVE_TOKENS, tokens + (now - filledAt) * FILL_PER_MS);
+        return new RetryBudget(Math.max(tokens, filled), now);
+    }
 
     /**
      * Earns for a success.
@@ -22,7 +41,7 @@
      * @return the new budget
      */
     public RetryBudget earn() {
-        return new RetryBudget(Math.min(MAX_TOKENS, tokens + EARNED_PER_SUCCESS));
+        return new RetryBudget(Math.min(MAX_TOKENS, tokens + EARNED_PER_SUCCESS), filledAt);
     }
 
     /**
@@ -40,6 +59,6 @@
      * @return the new budget
      */
     public RetryBudget spend() {
-        return new RetryBudget(Math.max(0, tokens - 1));
+        return new RetryBudget(Math.max(0, tokens - 1), filledAt);
     }
 }
--- a/routing/src/main/java/org/bamboohatch/routing/target/TargetSubset.java
+++ b/routing/src/main/java/org/bamboohatch/routing/target/TargetSubset.java
@@ -15,7 +15,7 @@
 public final class TargetSubset {
 
     /** Targets of one service at most that an entry connects to. */
-    public static final int MAX_TARGETS = 24;
+    public static final int MAX_TARGETS = 18;
 
     /** Not instantiated. */
     private TargetSubset() {}
--- a/routing/src/test/java/org/bamboohatch/routing/retry/TargetHealthTest.java
+++ b/routing/src/test/java/org/bamboohatch/routing/retry/TargetHealthTest.java
@@ -60,4 +60,13 @@
         assertThat(pauses).allMatch(pause -> pause >= 0 && pause <= 80);
         assertThat(Backoff.pauseMillis(60, random)).isLessThanOrEqualTo(1_000);
     }
+
+    @Test
+    void theReserveFillsWithTimeUpToItsBound() {
+        RetryBudget empty = new RetryBudget(0, 1_000);
+        assertThat(empty.at(1_100).covers()).isFalse();
+        assertThat(empty.at(1_200).covers()).isTrue();
+        assertThat(empty.at(1_000_000).tokens()).isEqualTo(10);
+        assertThat(new RetryBudget(30, 1_000).at(1_000_000).tokens()).isEqualTo(30);
+    }
 }
--- a/routing/src/test/java/org/bamboohatch/routing/target/TargetChoiceTest.java
+++ b/routing/src/test/java/org/bamboohatch/routing/target/TargetChoiceTest.java
@@ -127,7 +127,8 @@
         for (int entry = 0; entry < 100; entry++) {
             TargetSubset.select(new HostName("entry-" + entry), many).forEach(name -> uses[many.indexOf(name)]++);
         }
-        assertThat(IntStream.of(uses).min().orElseThrow()).isGreaterThan(25);
-        assertThat(IntStream.of(uses).max().orElseThrow()).isLessThan(75);
+        int mean = 100 * TargetSubset.MAX_TARGETS / many.size();
+        assertThat(IntStream.of(uses).min().orElseThrow()).isGreaterThan(mean / 2);
+        assertThat(IntStream.of(uses).max().orElseThrow()).isLessThan(mean + mean / 2);
     }
 }
