A broken invariant stops the process on whichever thread it is found

Ruled out: guarding every callback by hand; one forgotten callback would be the hole. Change: a program escalates a broken invariant before it is thrown; whatever a deciding loop throws stops the process with status 70. Two methods that nothing called are gone.

--- a/control/src/main/java/org/bamboohatch/control/state/LedgerMachine.java
+++ b/control/src/main/java/org/bamboohatch/control/state/LedgerMachine.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 
-import org.bamboohatch.kernel.id.AttemptId;
 import org.bamboohatch.kernel.id.RunKey;
 import org.bamboohatch.kernel.service.Invariant;
 import org.bamboohatch.protocol.message.ControlReply.Run;
@@ -174,18 +173,6 @@
         return record == null ? new Run(RunState.ABSENT, null) : known(record);
     }
 
-    /**
-     * Tells whether an attempt is known never to run.
-     *
-     * @param key the key
-     * @param attempt the attempt
-     * @return whether it is abandoned
-     */
-    public boolean isAbandoned(RunKey key, AttemptId attempt) {
-        LedgerRecord record = records.get(key);
-        return record != null && record.abandoned().contains(attempt);
-    }
-
     /**
      * Forgets old records.
      *
--- a/kernel/src/main/java/org/bamboohatch/kernel/service/Invariant.java
+++ b/kernel/src/main/java/org/bamboohatch/kernel/service/Invariant.java
@@ -1,5 +1,6 @@
 package org.bamboohatch.kernel.service;
 
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import org.apache.logging.log4j.LogManager;
@@ -14,11 +15,14 @@
     /** Logger of this part. */
     private static final Logger LOGGER = LogManager.getLogger(Invariant.class);
 
+    /** Hears of a broken invariant before it is thrown; a program stops itself here, whichever thread it is. */
+    private static volatile Consumer<String> escalation = sentence -> {};
+
     /** Not instantiated. */
     private Invariant() {}
 
     /**
-     * Throws when a condition does not hold.
+     * Escalates and throws when a condition does not hold.
      *
      * @param holds the condition
      * @param sentence describes what is broken
@@ -26,25 +30,47 @@
      */
     public static void check(boolean holds, Supplier<String> sentence) {
         if (!holds) {
-            throw new Broken(sentence.get());
+            String broken = sentence.get();
+            escalation.accept(broken);
+            throw new Broken(broken);
         }
     }
 
     /**
-     * Runs a task and stops the process at once if an invariant breaks in it.
+     * Sets what hears of a broken invariant before it is thrown. Exceptions alone would be swallowed by the
+     * libraries' threads.
+     *
+     * @param listener hears the sentence
+     */
+    public static void escalateTo(Consumer<String> listener) {
+        escalation = listener;
+    }
+
+    /**
+     * Stops the process at once.
+     *
+     * @param sentence describes what is broken
+     */
+    public static void halt(String sentence) {
+        LOGGER.fatal("invariant: broken, the process stops: {}", sentence, new Broken(sentence));
+        LogManager.shutdown();
+        Runtime.getRuntime().halt(EXIT_STATUS);
+    }
+
+    /**
+     * Guards the main loop of a thread that decides: whatever it throws stops the process, because the process would
+     * go on without its decisions.
      *
-     * @param task the task
-     * @return the guarded task
+     * @param task the loop
+     * @return the guarded loop
      */
     public static Runnable guard(Runnable task) {
         return () -> {
             try {
                 task.run();
-            } catch (Broken broken) {
-                LOGGER.fatal("invariant: broken, the process stops: {}", broken.getMessage(), broken);
-                Runtime.getRuntime().halt(EXIT_STATUS);
-            } catch (RuntimeException unexpected) {
-                LOGGER.error("invariant: unexpected error in a task", unexpected);
+            } catch (Broken | RuntimeException unexpected) {
+                LOGGER.fatal("invariant: a deciding thread failed, the process stops", unexpected);
+                halt(unexpected.toString());
             }
         };
     }
--- a/kernel/src/main/java/org/bamboohatch/kernel/service/Program.java
+++ b/kernel/src/main/java/org/bamboohatch/kernel/service/Program.java
@@ -21,6 +21,7 @@
      * @param service the service
      */
     public static void run(String name, Service service) {
+        Invariant.escalateTo(Invariant::halt);
         CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(name, service, stopped), "shutdown"));
         service.start();
--- a/replication/src/main/java/org/bamboohatch/replication/storage/LogStore.java
+++ b/replication/src/main/java/org/bamboohatch/replication/storage/LogStore.java
@@ -50,17 +50,7 @@
      * @param snapshot the last snapshot
      * @param entries the entries in the segments
      */
-    public record Loaded(Identity identity, HardState state, Snapshot snapshot, List<LogEntry> entries) {
-
-        /**
-         * Tells whether the replica has been part of a group.
-         *
-         * @return whether there is a snapshot or an entry
-         */
-        public boolean isFormed() {
-            return snapshot.index() > 0 || !entries.isEmpty();
-        }
-    }
+    public record Loaded(Identity identity, HardState state, Snapshot snapshot, List<LogEntry> entries) {}
 
     /** The files. */
     private final Disk disk;
