--- a/control/src/main/java/org/bamboohatch/control/ControlModule.java
+++ b/control/src/main/java/org/bamboohatch/control/ControlModule.java
@@ -66,6 +66,8 @@
                 settings.peers(),
                 replaces,
                 settings.snapshotEntries(),
+                settings.mayFound(),
+                settings.voters(),
                 Timing.DEFAULT);
         return new ReplicaService(replica, machine, network);
     }
--- a/control/src/main/java/org/bamboohatch/control/ControlSettings.java
+++ b/control/src/main/java/org/bamboohatch/control/ControlSettings.java
@@ -17,6 +17,8 @@
  * @param dataFolder folder with the durable state
  * @param peers addresses of the founding control processes
  * @param replaces host whose replica this one replaces, or an empty text
+ * @param mayFound whether a group may be formed when every founding process has an empty data folder
+ * @param voters voting processes to aim at, zero for as many as there are, made odd
  * @param snapshotEntries log entries after which a snapshot is taken
  * @param retentionHours time for which the answer of a run is kept after its last use
  */
@@ -46,6 +48,19 @@
         @Setting(description = "host whose replica this one replaces; empty for the own host", fallback = "\"\"")
         String replaces,
 
+        @Setting(
+                description = "whether a group may be formed when every founding process has an empty data folder",
+                fallback = "true")
+        boolean mayFound,
+
+        @Setting(
+                description = "voting processes to aim at; zero for as many as there are, made odd",
+                unit = "processes",
+                min = 0,
+                max = 9,
+                fallback = "0")
+        int voters,
+
         @Setting(
                 description = "log entries after which a snapshot is taken",
                 unit = "entries",
--- a/control/src/main/java/org/bamboohatch/control/membership/TargetRegistry.java
+++ b/control/src/main/java/org/bamboohatch/control/membership/TargetRegistry.java
@@ -21,6 +21,9 @@
     /** Time for which a departure is remembered, in milliseconds. */
     static final long TOMBSTONE_MS = 600_000;
 
+    /** Difference that clocks of two hosts may have, in milliseconds. */
+    private static final long CLOCK_TOLERANCE_MS = 1_000;
+
     /** The targets by name, also the departed ones. */
     private final Map<TargetName, Lease> leases = new TreeMap<>();
 
@@ -33,6 +36,9 @@
     /** Number of changes so far. */
     private long version;
 
+    /** Targets that said they are gone, with the time of day before which a start of theirs cannot return. */
+    private final Map<TargetName, Long> deregistered = new TreeMap<>();
+
     /** Version up to which departures have been forgotten. */
     private long forgottenVersion;
 
@@ -106,13 +112,16 @@
      */
     public boolean announce(TargetAnnouncement announcement, long now) {
         Lease known = leases.get(announcement.target());
-        boolean live = known != null && !known.departed();
-        if (live && known.announcement().incarnation() > announcement.incarnation()) {
+        Long goneSince = deregistered.get(announcement.target());
+        if (goneSince != null && announcement.incarnation() < goneSince) {
+            return false;
+        }
+        if (known != null && isOlder(announcement, known) || isReplaced(announcement)) {
             return false;
         }
         boolean changed = known == null
                 || known.departed() != announcement.leaving()
-                || !known.announcement().equals(announcement);
+                || !known.announcement().describesSame(announcement);
         if (changed) {
             version++;
         }
@@ -121,6 +130,69 @@
         return changed;
     }
 
+    /**
+     * Tells whether an announcement was sent before the one that is known.
+     *
+     * @param announcement the announcement
+     * @param known the known lease
+     * @return whether it comes from an earlier start, or is late
+     */
+    private static boolean isOlder(TargetAnnouncement announcement, Lease known) {
+        TargetAnnouncement latest = known.announcement();
+        if (latest.incarnation() != announcement.incarnation()) {
+            boolean restarted = announcement.incarnation() > latest.incarnation();
+            return !restarted && !known.departed() || !restarted && announcement.sequence() > 0;
+        }
+        return announcement.sequence() > 0 && announcement.sequence() <= latest.sequence();
+    }
+
+    /**
+     * Tells whether a later start of another target owns the address by now, and drops targets whose address the
+     * announced one has taken over.
+     *
+     * @param announcement the announcement
+     * @return whether the announced target is gone
+     */
+    private boolean isReplaced(TargetAnnouncement announcement) {
+        if (announcement.sequence() == 0) {
+            return false;
+        }
+        for (Map.Entry<TargetName, Lease> entry : leases.entrySet()) {
+            TargetAnnouncement other = entry.getValue().announcement();
+            boolean sameAddress = other.address().equals(announcement.address())
+                    && !other.target().equals(announcement.target());
+            if (sameAddress && other.incarnation() > announcement.incarnation()) {
+                return true;
+            }
+            if (sameAddress && !entry.getValue().departed()) {
+                version++;
+                entry.setValue(new Lease(other, entry.getValue().renewedAt(), version, true));
+            }
+        }
+        return false;
+    }
+
+    /**
+     * Ends the lease of a target that is gone; only a later start of it can return.
+     *
+     * @param target the target
+     * @param wallTime time of day, in Unix milliseconds, before which a start of the target cannot return
+     * @return whether the target held a lease
+     */
+    public boolean deregister(TargetName target, long wallTime) {
+        Lease known = leases.get(target);
+        long goneSince = known == null
+                ? wallTime - CLOCK_TOLERANCE_MS
+                : known.announcement().incarnation() + 1;
+        deregistered.merge(target, goneSince, Math::max);
+        if (known == null || known.departed()) {
+            return false;
+        }
+        version++;
+        leases.put(target, new Lease(known.announcement(), known.renewedAt(), version, true));
+        return true;
+    }
+
     /**
      * Ends the leases that were not renewed.
      *
--- a/control/src/main/java/org/bamboohatch/control/server/ControlServer.java
+++ b/control/src/main/java/org/bamboohatch/control/server/ControlServer.java
@@ -5,7 +5,6 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.Objects;
 import java.util.function.Supplier;
 
 import org.apache.logging.log4j.LogManager;
@@ -27,16 +26,19 @@
 import org.bamboohatch.protocol.message.ControlRequest.Announce;
 import org.bamboohatch.protocol.message.ControlRequest.ApplyDocument;
 import org.bamboohatch.protocol.message.ControlRequest.AwaitInForce;
+import org.bamboohatch.protocol.message.ControlRequest.Deregister;
 import org.bamboohatch.protocol.message.ControlRequest.GetDocument;
 import org.bamboohatch.protocol.message.ControlRequest.GetEvents;
+import org.bamboohatch.protocol.message.ControlRequest.GetFleet;
 import org.bamboohatch.protocol.message.ControlRequest.GetStatus;
 import org.bamboohatch.protocol.message.ControlRequest.LookupRun;
 import org.bamboohatch.protocol.message.ControlRequest.Poll;
+import org.bamboohatch.protocol.message.ControlRequest.Register;
+import org.bamboohatch.protocol.message.ControlRequest.ReplaceFleet;
 import org.bamboohatch.protocol.message.Message;
 import org.bamboohatch.protocol.transport.Exchange;
 import org.bamboohatch.protocol.transport.Network;
 import org.bamboohatch.protocol.transport.RequestHandler;
-import org.bamboohatch.replication.consensus.Role;
 import org.bamboohatch.replication.driver.Proposal;
 import org.bamboohatch.replication.driver.ReplicaService;
 import org.bamboohatch.replication.message.Member;
@@ -49,14 +51,8 @@
     /** Logger of this part. */
     private static final Logger LOGGER = LogManager.getLogger(ControlServer.class);
 
-    /** Time for which a poll waits for a change, in milliseconds. */
-    private static final long POLL_HOLD_MS = 500;
-
-    /** Time for which an announcement waits for a change, in milliseconds. */
-    private static final long ANNOUNCE_HOLD_MS = 800;
-
-    /** Time for which a question for a revision in force waits, in milliseconds. */
-    private static final long IN_FORCE_HOLD_MS = 500;
+    /** Time for which a read waits until a quorum has confirmed the leader, in milliseconds. */
+    private static final long CONFIRMATION_HOLD_MS = 600;
 
     /** Time between two looks at the waiting replies, in milliseconds. */
     private static final long SWEEP_INTERVAL_MS = 20;
@@ -85,11 +81,14 @@
     /** Makes the answers to the processes that hold configuration. */
     private final HolderAnswers answers;
 
-    /** Replies that wait for a change of documents, membership or orders. */
-    private final WaitingReplies waiting = new WaitingReplies();
+    /** What the process keeps while it leads. */
+    private final LeaderSession session;
 
-    /** Replies that wait for a revision to be in force. */
-    private final WaitingReplies waitingForForce = new WaitingReplies();
+    /** Answers holders of the configuration. */
+    private final HolderRequests holders;
+
+    /** Answers about the fleet. */
+    private final FleetRequests fleet;
 
     /** Whether a leader was known at the last look; read by other threads. */
     private volatile boolean ready;
@@ -97,9 +96,6 @@
     /** Time of the next look at the leases. */
     private long nextLeaseSweep;
 
-    /** What this process keeps while it leads, or null. */
-    private LeaderState leader;
-
     /** Time of the next eviction. */
     private long nextEviction;
 
@@ -124,6 +120,9 @@
         this.machine = machine;
         this.network = network;
         this.answers = new HolderAnswers(machine);
+        this.session = new LeaderSession(settings, replica, machine, network);
+        this.holders = new HolderRequests(session, machine, answers, this::plan);
+        this.fleet = new FleetRequests(session, settings, replica);
     }
 
     @Override
@@ -151,6 +150,8 @@
             apply(apply, exchange);
         } else if (isLedgerCommand(request)) {
             propose(request, exchange);
+        } else if (request instanceof ReplaceFleet replace) {
+            fleet.replace(replace, this::ledgerTime, exchange);
         } else if (request instanceof ControlRequest read) {
             replica.execute(() -> read(read, exchange));
         }
@@ -198,10 +199,10 @@
             if (proposal instanceof Proposal.Decided decided) {
                 exchange.end((Message) decided.result());
                 if (request instanceof ApplyDocument) {
-                    replica.execute(waiting::releaseDue);
+                    replica.execute(session::releaseNews);
                 }
             } else if (proposal instanceof Proposal.NotLeader) {
-                replica.execute(() -> exchange.end(notLeader()));
+                replica.execute(() -> exchange.end(session.notLeader()));
             } else {
                 exchange.end(new Undecided("leadership changed before the request was decided"));
             }
@@ -214,176 +215,91 @@
      * @return the time in milliseconds
      */
     private long ledgerTime() {
-        refreshLeadership();
-        return leader == null ? machine.ledger().time() : leader.ledgerTime(ReplicaService.now());
+        session.refreshLeadership();
+        return session.leader() == null
+                ? machine.ledger().time()
+                : session.leader().ledgerTime(ReplicaService.now());
     }
 
     /**
-     * Answers a read under the leader's lease.
+     * Answers a read once a quorum has confirmed that this process still leads.
      *
      * @param request the request
      * @param exchange takes the reply
      */
     private void read(ControlRequest request, Exchange exchange) {
-        refreshLeadership();
-        if (!mayRead()) {
-            exchange.end(notLeader());
+        session.refreshLeadership();
+        if (session.leader() == null) {
+            exchange.end(session.notLeader());
         } else if (request instanceof Poll poll) {
-            poll(poll, exchange);
+            holders.poll(poll, exchange);
         } else if (request instanceof Announce announce) {
-            announce(announce, exchange);
-        } else if (request instanceof GetDocument get) {
-            exchange.end(answers.documents(get));
-        } else if (request instanceof LookupRun lookup) {
-            exchange.end(machine.ledger().lookup(lookup.key()));
+            holders.announce(announce, exchange);
+        } else if (request instanceof Register register) {
+            fleet.register(register, exchange);
+        } else if (request instanceof Deregister deregister) {
+            fleet.deregister(deregister, exchange);
         } else if (request instanceof AwaitInForce await) {
-            awaitInForce(await, exchange);
-        }
-    }
-
-    /**
-     * Tells whether the process is part of a group that has a leader.
-     *
-     * @return whether a leader was known at the last look
-     */
-    public boolean isReady() {
-        return ready;
-    }
-
-    /**
-     * Tells whether this process may answer reads now.
-     *
-     * @return whether the lease holds
-     */
-    private boolean mayRead() {
-        return leader != null && replica.core().mayRead(ReplicaService.now());
-    }
-
-    /** Takes note of a change of leadership. */
-    private void refreshLeadership() {
-        boolean leads = replica.core().role() == Role.LEADER;
-        if (!leads) {
-            leader = null;
-        } else if (leader == null || leader.term() != replica.core().term()) {
+            holders.awaitInForce(await, exchange);
+        } else {
             long now = ReplicaService.now();
-            leader = new LeaderState(replica.core().term(), machine.ledger().time(), now);
-            LOGGER.info("control: leads in term {}", leader.term());
-            network.timeline()
-                    .record(settings.host().value(), "leads", "term " + leader.term(), System.currentTimeMillis());
-        }
-    }
-
-    /**
-     * Answers a poll when something changed or its time has run out. The first poll that a new leader hears is
-     * answered at once, because the holder has to show soon that its copy is fresh.
-     *
-     * @param poll the poll
-     * @param exchange takes the reply
-     */
-    private void poll(Poll poll, Exchange exchange) {
-        long now = ReplicaService.now();
-        boolean firstContact =
-                leader.holders().hear(poll.holder().value(), poll.zone(), true, poll.appliedRevision(), now);
-        waiting.add(
-                now + POLL_HOLD_MS,
-                () -> mayRead() && (firstContact || answers.hasNews(poll, leader, ReplicaService.now())),
-                () -> exchange.end(mayRead() ? answers.changes(poll, leader, ReplicaService.now()) : notLeader()));
-    }
-
-    /**
-     * Renews a target's lease and answers when there is news or the time has run out.
-     *
-     * @param announce the announcement
-     * @param exchange takes the reply
-     */
-    private void announce(Announce announce, Exchange exchange) {
-        long now = ReplicaService.now();
-        var target = announce.announcement();
-        if (!target.leaving()) {
-            leader.holders().hear(target.target().value(), target.zone(), false, announce.appliedRevision(), now);
-        }
-        boolean changed = leader.targets().announce(target, now);
-        if (changed) {
-            plan();
-        }
-        List<ControlReply.PlacementOrder> known = leader.orders(target.target());
-        waiting.add(
-                now + ANNOUNCE_HOLD_MS,
-                () -> target.leaving()
-                        || machine.documents().lastRevision() > announce.appliedRevision()
-                        || leader != null && !Objects.equals(leader.orders(target.target()), known),
-                () -> exchange.end(mayRead() ? answers.announced(announce, leader) : notLeader()));
-        if (changed) {
-            waiting.releaseDue();
+            session.holdForNews(CONFIRMATION_HOLD_MS, () -> session.isConfirmedSince(now), () -> {
+                if (session.isConfirmedSince(now)) {
+                    exchange.end(answer(request));
+                } else {
+                    exchange.end(session.notLeader());
+                }
+            });
+            session.seekConfirmation();
         }
     }
 
     /**
-     * Answers whether a revision is in force, when it is or the time has run out.
+     * Answers a question about the durable state.
      *
-     * @param await the question
-     * @param exchange takes the reply
+     * @param request the question
+     * @return the reply
      */
-    private void awaitInForce(AwaitInForce await, Exchange exchange) {
-        long now = ReplicaService.now();
-        waitingForForce.add(
-                now + IN_FORCE_HOLD_MS,
-                () -> mayRead()
-                        && leader.holders().isComplete(ReplicaService.now())
-                        && leader.holders()
-                                .pendingZones(await.revision(), ReplicaService.now())
-                                .isEmpty(),
-                () -> exchange.end(inForce(await)));
-    }
-
-    /**
-     * Answers whether a revision is in force.
-     *
-     * @param await the question
-     * @return the zones that have not confirmed it
-     */
-    private ControlReply inForce(AwaitInForce await) {
-        if (!mayRead()) {
-            return notLeader();
-        }
-        long now = ReplicaService.now();
-        if (!leader.holders().isComplete(now)) {
-            return new Undecided("the leader is new and has not heard every process yet");
+    private ControlReply answer(ControlRequest request) {
+        if (request instanceof GetDocument get) {
+            return answers.documents(get);
+        } else if (request instanceof LookupRun lookup) {
+            return machine.ledger().lookup(lookup.key());
+        } else if (request instanceof GetFleet) {
+            return new ControlReply.Fleet(machine.fleet().current());
         }
-        return new ControlReply.InForce(await.revision(), leader.holders().pendingZones(await.revision(), now));
+        return new Undecided("unknown question " + request.getClass().getSimpleName());
     }
 
     /**
-     * Answers that another process leads.
+     * Tells whether the process is part of a group that has a leader.
      *
-     * @return the reply with the leader's address, if it is known
+     * @return whether a leader was known at the last look
      */
-    private ControlReply notLeader() {
-        return new ControlReply.NotLeader(replica.leaderAddress());
+    public boolean isReady() {
+        return ready;
     }
 
     /** Ends leases, plans orders, evicts old records and releases waiting replies. */
     private void sweep() {
-        refreshLeadership();
+        session.refreshLeadership();
         ready = !replica.leaderAddress().isEmpty();
         long now = ReplicaService.now();
-        if (leader != null && now >= nextLeaseSweep) {
+        if (session.leader() != null && now >= nextLeaseSweep) {
             nextLeaseSweep = now + LEASE_SWEEP_INTERVAL_MS;
-            boolean departed = leader.targets().sweep(now);
+            boolean departed = session.leader().targets().sweep(now);
             if (departed || plannedRevision != machine.documents().lastRevision()) {
                 plan();
-                waiting.releaseDue();
+                session.releaseNews();
             }
             evict(now);
         }
-        waiting.releaseExpired(now);
-        waitingForForce.releaseExpired(now);
-        waitingForForce.releaseDue();
+        session.sweep(now);
     }
 
     /** Plans the standing orders anew. */
     private void plan() {
-        if (!leader.targets().isComplete(ReplicaService.now())) {
+        if (!session.leader().targets().isComplete(ReplicaService.now())) {
             return;
         }
         if (plannedRevision != machine.documents().lastRevision()) {
@@ -393,7 +309,9 @@
                     .map(result -> ((Result.Success<ServiceDocument, List<SettingsError>>) result).value())
                     .toList();
         }
-        leader.order(PlacementPlanner.plan(plannedDocuments, leader.targets().live()));
+        session.leader()
+                .order(PlacementPlanner.plan(
+                        plannedDocuments, session.leader().targets().live()));
     }
 
     /**
@@ -417,7 +335,7 @@
      * @return the status
      */
     private ControlReply describe() {
-        refreshLeadership();
+        session.refreshLeadership();
         var core = replica.core();
         long now = ReplicaService.now();
         return new ControlReply.Status(
@@ -430,11 +348,15 @@
                 core.membership().voters().stream().map(ControlServer::words).toList(),
                 core.membership().learners().stream().map(ControlServer::words).toList(),
                 machine.documents().services(),
-                leader == null ? List.of() : List.copyOf(leader.targets().live()),
+                session.leader() == null
+                        ? List.of()
+                        : List.copyOf(session.leader().targets().live()),
                 machine.ledger().size(),
-                leader == null
+                session.leader() == null
                         ? List.of()
-                        : leader.holders().pendingZones(machine.documents().lastRevision(), now));
+                        : session.leader()
+                                .holders()
+                                .pendingZones(machine.documents().lastRevision(), now));
     }
 
     /**
--- a/control/src/main/java/org/bamboohatch/control/server/HolderAnswers.java
+++ b/control/src/main/java/org/bamboohatch/control/server/HolderAnswers.java
@@ -9,6 +9,7 @@
 import org.bamboohatch.protocol.message.ControlRequest.GetDocument;
 import org.bamboohatch.protocol.message.ControlRequest.Poll;
 import org.bamboohatch.protocol.message.DocumentVersion;
+import org.bamboohatch.protocol.message.FleetText;
 
 /** Makes the answers to the processes that hold configuration. */
 final class HolderAnswers {
@@ -34,7 +35,8 @@
      * @return whether a document or the membership changed
      */
     boolean hasNews(Poll poll, LeaderState leader, long now) {
-        if (machine.documents().lastRevision() > poll.appliedRevision()) {
+        if (machine.documents().lastRevision() > poll.appliedRevision()
+                || machine.fleet().version() > poll.fleetVersion()) {
             return true;
         }
         boolean behind =
@@ -60,14 +62,20 @@
      *
      * @param poll the poll
      * @param leader what the leader keeps
+     * @param controls addresses of the control processes
      * @param now the present time, in milliseconds
      * @return what changed
      */
-    ControlReply changes(Poll poll, LeaderState leader, long now) {
+    ControlReply changes(Poll poll, LeaderState leader, List<String> controls, long now) {
         List<DocumentVersion> documents = machine.documents().changedSince(poll.appliedRevision());
         long revision = machine.documents().lastRevision();
         long time = leader.ledgerTime(now);
         int entries = leader.holders().entries();
+        FleetText fleet = machine.fleet().version() > poll.fleetVersion()
+                ? machine.fleet().current()
+                : null;
+        List<String> gateways =
+                poll.exchangeAddress().isEmpty() ? List.of() : leader.gateways().exchangeAddresses();
         if (!tellsMembership(poll, leader, now)) {
             boolean first = poll.epoch() == 0;
             TargetRegistry.Changes partial = leader.targets().changesSince(0, 0);
@@ -79,7 +87,10 @@
                     first ? partial.joined() : List.of(),
                     List.of(),
                     time,
-                    entries);
+                    entries,
+                    fleet,
+                    gateways,
+                    controls);
         }
         TargetRegistry.Changes changes = leader.targets().changesSince(poll.epoch(), poll.version());
         return new ControlReply.Changes(
@@ -90,7 +101,10 @@
                 changes.joined(),
                 changes.departed(),
                 time,
-                entries);
+                entries,
+                fleet,
+                gateways,
+                controls);
     }
 
     /**
--- a/control/src/main/java/org/bamboohatch/control/server/LeaderState.java
+++ b/control/src/main/java/org/bamboohatch/control/server/LeaderState.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 
+import org.bamboohatch.control.membership.GatewayRegistry;
 import org.bamboohatch.control.membership.HolderRegistry;
 import org.bamboohatch.control.membership.TargetRegistry;
 import org.bamboohatch.kernel.id.TargetName;
@@ -20,6 +21,9 @@
     /** The processes that hold configuration. */
     private final HolderRegistry holders;
 
+    /** The gateways that were heard. */
+    private final GatewayRegistry gateways;
+
     /** Ledger time at the beginning of the term. */
     private final long ledgerTimeAtStart;
 
@@ -37,6 +41,7 @@
      * @param now the present time
      */
     LeaderState(long term, long ledgerTime, long now) {
+        this.gateways = new GatewayRegistry(term, now);
         this.term = term;
         this.targets = new TargetRegistry(term, now);
         this.holders = new HolderRegistry(now);
@@ -62,6 +67,15 @@
         return targets;
     }
 
+    /**
+     * Returns the gateways that were heard.
+     *
+     * @return the gateways
+     */
+    GatewayRegistry gateways() {
+        return gateways;
+    }
+
     /**
      * Returns the processes that hold configuration.
      *
--- a/control/src/main/java/org/bamboohatch/control/state/ControlMachine.java
+++ b/control/src/main/java/org/bamboohatch/control/state/ControlMachine.java
@@ -9,6 +9,8 @@
 import org.bamboohatch.protocol.message.ControlRequest.ApplyDocument;
 import org.bamboohatch.protocol.message.ControlRequest.BeginRun;
 import org.bamboohatch.protocol.message.ControlRequest.FinishRun;
+import org.bamboohatch.protocol.message.ControlRequest.ReplaceFleet;
+import org.bamboohatch.protocol.message.FleetText;
 import org.bamboohatch.protocol.message.Message;
 import org.bamboohatch.protocol.message.MessageCodec;
 import org.bamboohatch.replication.StateMachine;
@@ -22,6 +24,9 @@
     /** The ledger of runs. */
     private final LedgerMachine ledger = new LedgerMachine();
 
+    /** The fleet configuration. */
+    private final FleetMachine fleet = new FleetMachine();
+
     /** Creates an empty machine. */
     public ControlMachine() {}
 
@@ -30,8 +35,9 @@
      *
      * @param documents the documents
      * @param ledger the ledger
+     * @param fleet the fleet configuration, null if there is none
      */
-    private record State(DocumentsMachine.State documents, LedgerMachine.State ledger) {}
+    private record State(DocumentsMachine.State documents, LedgerMachine.State ledger, FleetText fleet) {}
 
     /**
      * Encodes a command.
@@ -65,6 +71,8 @@
             return ledger.abandon(abandon);
         } else if (request instanceof FinishRun finish) {
             return ledger.finish(finish);
+        } else if (request instanceof ReplaceFleet replace) {
+            return fleet.replace(replace);
         } else if (request instanceof Command.Evict evict) {
             ledger.evict(evict.before());
             return null;
@@ -74,16 +82,20 @@
 
     @Override
     public byte[] snapshot() {
-        return MessageCodec.instance().encode(new State(documents.state(), ledger.state()));
+        return MessageCodec.instance().encode(new State(documents.state(), ledger.state(), fleet.current()));
     }
 
     @Override
     public void restore(byte[] state) {
         State decoded = state.length == 0
-                ? new State(new DocumentsMachine.State(0, List.of(), List.of()), new LedgerMachine.State(0, List.of()))
+                ? new State(
+                        new DocumentsMachine.State(0, List.of(), List.of()),
+                        new LedgerMachine.State(0, List.of()),
+                        null)
                 : decode(state, State.class);
         documents.restore(decoded.documents());
         ledger.restore(decoded.ledger());
+        fleet.restore(decoded.fleet());
     }
 
     /**
@@ -95,6 +107,15 @@
         return documents;
     }
 
+    /**
+     * Returns the fleet configuration.
+     *
+     * @return the configuration
+     */
+    public FleetMachine fleet() {
+        return fleet;
+    }
+
     /**
      * Returns the ledger of runs.
      *
--- a/distribution/src/test/java/org/bamboohatch/distribution/ConfigurationPage.java
+++ b/distribution/src/test/java/org/bamboohatch/distribution/ConfigurationPage.java
@@ -8,7 +8,9 @@
 import org.bamboohatch.control.ControlSettings;
 import org.bamboohatch.document.ServiceDocument;
 import org.bamboohatch.entry.EntrySettings;
+import org.bamboohatch.gateway.GatewaySettings;
 import org.bamboohatch.kernel.settings.SettingsPage;
+import org.bamboohatch.platform.PlatformSettings;
 
 /** Writes docs/CONFIGURATION.md from the code. */
 public final class ConfigurationPage {
@@ -38,6 +40,10 @@
                 + "\n## bamboohatch-entry\n\n"
                 + SettingsPage.table(EntrySettings.class)
                 + "\n## bamboohatch-agent\n\n"
-                + SettingsPage.table(AgentSettings.class);
+                + SettingsPage.table(AgentSettings.class)
+                + "\n## bamboohatch-gateway\n\n"
+                + SettingsPage.table(GatewaySettings.class)
+                + "\n## bamboohatch-platform\n\n"
+                + SettingsPage.table(PlatformSettings.class);
     }
 }
--- a/distribution/src/test/java/org/bamboohatch/distribution/ModuleRulesTest.java
+++ b/distribution/src/test/java/org/bamboohatch/distribution/ModuleRulesTest.java
@@ -1,6 +1,7 @@
 package org.bamboohatch.distribution;
 
 import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.core.importer.Location;
 import com.tngtech.archunit.junit.AnalyzeClasses;
 import com.tngtech.archunit.junit.ArchTest;
 import com.tngtech.archunit.lang.ArchRule;
@@ -8,9 +9,18 @@
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
 
-@AnalyzeClasses(packages = "org.bamboohatch", importOptions = ImportOption.DoNotIncludeTests.class)
+@AnalyzeClasses(packages = "org.bamboohatch", importOptions = ModuleRulesTest.MainClasses.class)
 class ModuleRulesTest {
 
+    /** Leaves out the classes of tests, wherever the build puts them. */
+    static final class MainClasses implements ImportOption {
+
+        @Override
+        public boolean includes(Location location) {
+            return !location.contains("/test-classes/");
+        }
+    }
+
     @ArchTest
     static final ArchRule DECISIONS_HAVE_NO_CLOCKS_THREADS_FILES_OR_SOCKETS = noClasses()
             .that()
@@ -54,10 +64,18 @@
 
     @ArchTest
     static final ArchRule THE_PROGRAMS_DO_NOT_KNOW_EACH_OTHER = slices().matching(
-                    "org.bamboohatch.(entry|agent|control|standin)..")
+                    "org.bamboohatch.(entry|agent|control|gateway|standin)..")
             .should()
             .notDependOnEachOther();
 
+    @ArchTest
+    static final ArchRule NOTHING_DEPENDS_ON_THE_PLATFORM = noClasses()
+            .that()
+            .resideOutsideOfPackage("org.bamboohatch.platform..")
+            .should()
+            .dependOnClassesThat()
+            .resideInAPackage("org.bamboohatch.platform..");
+
     @ArchTest
     static final ArchRule NO_PROCESS_STARTS_A_PROCESS = noClasses()
             .should()
--- /dev/null
+++ b/distribution/src/test/java/org/bamboohatch/distribution/PlatformWordsTest.java
@@ -0,0 +1,45 @@
+package org.bamboohatch.distribution;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** The platform's names of fields stay in its adapter. */
+class PlatformWordsTest {
+
+    private static final List<String> WORDS = List.of(
+            "X-Bamboohatch-",
+            "path_prefix",
+            "traffic_split",
+            "heartbeat_address",
+            "target_latency_ms",
+            "max_attempts",
+            "stream_resume",
+            "target_gap_ms",
+            "api_keys",
+            "cold_remaining_ms",
+            "kv_tokens",
+            "read_per_s",
+            "/instances/",
+            "At-Server");
+
+    @Test
+    void noOtherModuleNamesTheFieldsOfThePlatform() throws IOException {
+        try (Stream<Path> files = Files.walk(Path.of(".."))) {
+            List<Path> sources = files.filter(file -> file.toString().endsWith(".java"))
+                    .filter(file -> file.toString().contains("/src/main/"))
+                    .filter(file -> !file.startsWith(Path.of("..", "platform")))
+                    .toList();
+            assertThat(sources).hasSizeGreaterThan(200);
+            for (Path source : sources) {
+                assertThat(Files.readString(source)).as(source.toString()).doesNotContain(WORDS);
+            }
+        }
+    }
+}
--- a/entry/src/test/java/org/bamboohatch/entry/configuration/RoutingSnapshotTest.java
+++ b/entry/src/test/java/org/bamboohatch/entry/configuration/RoutingSnapshotTest.java
@@ -26,7 +26,7 @@
 
     private static Changes changes(
             long revision, long epoch, List<TargetAnnouncement> joined, DocumentVersion... documents) {
-        return new Changes(revision, List.of(documents), epoch, 1, joined, List.of(), 5, 2);
+        return new Changes(revision, List.of(documents), epoch, 1, joined, List.of(), 5, 2, null, List.of(), List.of());
     }
 
     private static TargetAnnouncement target(String name) {
--- /dev/null
+++ b/gateway/src/main/java/org/bamboohatch/gateway/Dialect.java
@@ -0,0 +1,53 @@
+package org.bamboohatch.gateway;
+
+/**
+ * Names of the HTTP header fields that a gateway, its callers and its targets exchange.
+ *
+ * @param requestId id of one attempt of a caller; the target's answer repeats it
+ * @param deadline time that the caller still waits, in milliseconds
+ * @param key the caller's key
+ * @param account name of the client account, set for the target
+ * @param expectedTarget name of the only target that may run the request
+ * @param notExecuted present in answers of targets that did not run the request
+ * @param seal the target's signature of its answer
+ * @param model the model that a generation asks for
+ * @param tokenCounts sizes of a generation: prompt tokens and the most answer tokens, separated by a comma
+ * @param lengthHint the caller's estimate of the answer's size, in tokens
+ * @param priority rank at the target's queue, zero for the most urgent
+ * @param helpers addresses of the engines that read a part of the prompt, separated by commas
+ * @param faultyTarget address of the target that an answer blames
+ * @param lastEventId id of the last event that the caller has; a stream goes on after it
+ */
+public record Dialect(
+        String requestId,
+        String deadline,
+        String key,
+        String account,
+        String expectedTarget,
+        String notExecuted,
+        String seal,
+        String model,
+        String tokenCounts,
+        String lengthHint,
+        String priority,
+        String helpers,
+        String faultyTarget,
+        String lastEventId) {
+
+    /** The names that an installation of its own uses. */
+    public static final Dialect DEFAULT = new Dialect(
+            "Request-Id",
+            "Request-Timeout-Ms",
+            "Api-Key",
+            "Client-Account",
+            "Expected-Target",
+            "Not-Executed",
+            "Answer-Seal",
+            "Model",
+            "Token-Counts",
+            "Answer-Tokens-Hint",
+            "Request-Priority",
+            "Reading-Helpers",
+            "Faulty-Target",
+            "Last-Event-ID");
+}
--- /dev/null
+++ b/gateway/src/main/java/org/bamboohatch/gateway/GatewayModule.java
@@ -0,0 +1,127 @@
+package org.bamboohatch.gateway;
+
+import javax.inject.Singleton;
+
+import java.time.Duration;
+
+import dagger.Module;
+import dagger.Provides;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.bamboohatch.gateway.configuration.FleetStore;
+import org.bamboohatch.gateway.forward.Forwarder;
+import org.bamboohatch.gateway.load.LoadBook;
+import org.bamboohatch.gateway.load.LoadExchange;
+import org.bamboohatch.kernel.event.Timeline;
+import org.bamboohatch.protocol.client.ControlClient;
+import org.bamboohatch.protocol.transport.Network;
+
+/** Provides what a gateway is made of. */
+@Module
+final class GatewayModule {
+
+    /** Network threads for frames. */
+    private static final int NETWORK_THREADS = 1;
+
+    /** Events kept by a gateway. */
+    private static final int TIMELINE_CAPACITY = 1_024;
+
+    /** Time for one poll of a control process: its hold and a journey between zones. */
+    private static final Duration POLL_TRY = Duration.ofMillis(900);
+
+    /** Not instantiated. */
+    private GatewayModule() {}
+
+    /**
+     * Provides the network threads for frames.
+     *
+     * @param settings the settings
+     * @return the network
+     */
+    @Provides
+    @Singleton
+    static Network network(GatewaySettings settings) {
+        return new Network(NETWORK_THREADS, new Timeline(settings.host().value(), TIMELINE_CAPACITY));
+    }
+
+    /**
+     * Provides the thread of all callers.
+     *
+     * @return the thread
+     */
+    @Provides
+    @Singleton
+    static EventLoop loop() {
+        return (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+    }
+
+    /**
+     * Provides the client of control.
+     *
+     * @param settings the settings
+     * @param network the network threads
+     * @return the client
+     */
+    @Provides
+    @Singleton
+    static ControlClient control(GatewaySettings settings, Network network) {
+        return new ControlClient(network, settings.control(), POLL_TRY);
+    }
+
+    /**
+     * Provides the book of work at targets.
+     *
+     * @return the book
+     */
+    @Provides
+    @Singleton
+    static LoadBook book() {
+        return new LoadBook();
+    }
+
+    /**
+     * Provides the forwarder.
+     *
+     * @param settings the settings
+     * @param dialect names of the header fields
+     * @param loop the thread of all callers
+     * @param store the gateway's copy of the configuration
+     * @param book work at targets
+     * @return the forwarder
+     */
+    @Provides
+    @Singleton
+    static Forwarder forwarder(
+            GatewaySettings settings, Dialect dialect, EventLoop loop, FleetStore store, LoadBook book) {
+        return new Forwarder(settings, dialect, loop, store, book);
+    }
+
+    /**
+     * Provides the exchange of load reports.
+     *
+     * @param settings the settings
+     * @param book work at targets
+     * @param loop the thread of all callers
+     * @param network the network threads
+     * @return the exchange
+     */
+    @Provides
+    @Singleton
+    static LoadExchange exchange(GatewaySettings settings, LoadBook book, EventLoop loop, Network network) {
+        return new LoadExchange(settings, book, loop, network);
+    }
+
+    /**
+     * Provides the metrics.
+     *
+     * @return the registry
+     */
+    @Provides
+    @Singleton
+    static PrometheusMeterRegistry metrics() {
+        return new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/bamboohatch/gateway/GatewaySettings.java
@@ -0,0 +1,93 @@
+package org.bamboohatch.gateway;
+
+import java.util.List;
+
+import org.bamboohatch.kernel.id.HostName;
+import org.bamboohatch.kernel.id.ZoneName;
+import org.bamboohatch.kernel.settings.Setting;
+
+/**
+ * Settings of a gateway.
+ *
+ * @param host name of the host
+ * @param zone availability zone of the host
+ * @param listen address for callers, as IP:port
+ * @param readiness address for questions about readiness and for metrics, as IP:port
+ * @param exchange address for load reports of other gateways, as IP:port
+ * @param control addresses of the control processes
+ * @param freshnessMillis age of the configuration up to which requests with keys are admitted
+ * @param retryRatio repeated sends that a request to a service earns, over all gateways
+ * @param retryReserve repeated sends in each window besides, over all gateways and for each service
+ * @param retryWindowMillis window of the retry budget
+ * @param stopMillis time from the signal to stop until the process ends
+ * @param stallMillis time for which a target holds work that depends on another one that is gone
+ */
+public record GatewaySettings(
+        @Setting(description = "name of the host") HostName host,
+
+        @Setting(description = "availability zone of the host")
+        ZoneName zone,
+
+        @Setting(description = "address for callers, as IP:port")
+        String listen,
+
+        @Setting(description = "address for questions about readiness and for metrics, as IP:port")
+        String readiness,
+
+        @Setting(description = "address for load reports of other gateways, as IP:port")
+        String exchange,
+
+        @Setting(description = "addresses of the control processes")
+        List<String> control,
+
+        @Setting(
+                description = "age of the configuration up to which requests with keys are admitted",
+                unit = "milliseconds",
+                min = 500,
+                max = 600_000,
+                fallback = "4000")
+        long freshnessMillis,
+
+        @Setting(
+                description = "repeated sends that a request to a service earns, over all gateways",
+                min = 0,
+                max = 10,
+                fallback = "0.1")
+        double retryRatio,
+
+        @Setting(
+                description = "repeated sends in each window besides, over all gateways and for each service",
+                min = 0,
+                max = 100_000,
+                fallback = "20")
+        double retryReserve,
+
+        @Setting(
+                description = "window of the retry budget",
+                unit = "milliseconds",
+                min = 100,
+                max = 600_000,
+                fallback = "10000")
+        long retryWindowMillis,
+
+        @Setting(
+                description = "time from the signal to stop until the process ends",
+                unit = "milliseconds",
+                min = 0,
+                max = 600_000,
+                fallback = "30000")
+        long stopMillis,
+
+        @Setting(
+                description = "time for which a target holds work that depends on another one that is gone",
+                unit = "milliseconds",
+                min = 0,
+                max = 60_000,
+                fallback = "1500")
+        long stallMillis) {
+
+    /** Makes the list immutable. */
+    public GatewaySettings {
+        control = List.copyOf(control);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/bamboohatch/gateway/configuration/FleetStore.java
@@ -0,0 +1,221 @@
+package org.bamboohatch.gateway.configuration;
+
+import javax.inject.Inject;
+import javax.inject.Singleton;
+
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import java.util.zip.InflaterInputStream;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.bamboohatch.document.fleet.FleetConfiguration;
+import org.bamboohatch.document.fleet.FleetFormat;
+import org.bamboohatch.gateway.GatewayClock;
+import org.bamboohatch.gateway.GatewaySettings;
+import org.bamboohatch.kernel.outcome.Result;
+import org.bamboohatch.kernel.plugin.Plugins;
+import org.bamboohatch.kernel.service.Service;
+import org.bamboohatch.protocol.client.ControlClient;
+import org.bamboohatch.protocol.message.ControlReply;
+import org.bamboohatch.protocol.message.ControlReply.Changes;
+import org.bamboohatch.protocol.message.ControlRequest.Poll;
+import org.bamboohatch.protocol.message.FleetText;
+import org.bamboohatch.protocol.transport.Network;
+
+/** Keeps the gateway's copy of the configuration and membership by polling control. */
+@Singleton
+public final class FleetStore implements Service {
+
+    /** Logger of this part. */
+    private static final Logger LOGGER = LogManager.getLogger(FleetStore.class);
+
+    /** Time for one poll over all control processes. */
+    private static final Duration POLL_TIMEOUT = Duration.ofSeconds(3);
+
+    /** Pause after a poll that brought no answer, in milliseconds. */
+    private static final long PAUSE_MS = 50;
+
+    /** The settings. */
+    private final GatewaySettings settings;
+
+    /** The control processes. */
+    private final ControlClient control;
+
+    /** The network threads. */
+    private final Network network;
+
+    /** Reads configurations. */
+    private final Plugins<FleetFormat> formats = Plugins.load(FleetFormat.class);
+
+    /** The present copy. */
+    private final AtomicReference<FleetView> view = new AtomicReference<>(FleetView.EMPTY);
+
+    /** When the last answered poll was sent: the copy was the newest at that moment. */
+    private volatile GatewayClock confirmed = new GatewayClock(Long.MIN_VALUE / 2, Long.MIN_VALUE / 2);
+
+    /** Hear each new copy. */
+    private final List<Consumer<FleetView>> listeners = new CopyOnWriteArrayList<>();
+
+    /** Whether the polls go on. */
+    private volatile boolean running = true;
+
+    /** Whether control answered the last poll. */
+    private boolean inTouch;
+
+    /**
+     * Creates a store.
+     *
+     * @param settings the settings
+     * @param control the control processes
+     * @param network the network threads
+     */
+    @Inject
+    public FleetStore(GatewaySettings settings, ControlClient control, Network network) {
+        this.settings = settings;
+        this.control = control;
+        this.network = network;
+    }
+
+    /**
+     * Returns the present copy.
+     *
+     * @return the copy
+     */
+    public FleetView view() {
+        return view.get();
+    }
+
+    /**
+     * Tells how old the copy may be.
+     *
+     * @param now the present moment
+     * @return time since the copy was the newest for certain, in milliseconds
+     */
+    public long age(GatewayClock now) {
+        return now.since(confirmed);
+    }
+
+    /**
+     * Adds a listener.
+     *
+     * @param listener hears each new copy
+     */
+    public void onChange(Consumer<FleetView> listener) {
+        listeners.add(listener);
+    }
+
+    @Override
+    public void start() {
+        poll();
+    }
+
+    @Override
+    public void stop() {
+        running = false;
+    }
+
+    /** Polls again and again. */
+    private void poll() {
+        if (!running) {
+            return;
+        }
+        FleetView copy = view.get();
+        GatewayClock sentAt = GatewayClock.read();
+        Poll poll = new Poll(
+                settings.host(),
+                settings.zone(),
+                Long.MAX_VALUE,
+                copy.epoch(),
+                copy.version(),
+                copy.configurationVersion(),
+                settings.exchange());
+        control.call(poll, POLL_TIMEOUT).whenComplete((reply, problem) -> {
+            boolean answered = problem == null && reply instanceof Changes;
+            noteContact(answered, reply);
+            if (answered) {
+                take((Changes) reply, sentAt);
+            }
+            network.after(Duration.ofMillis(answered ? 0 : PAUSE_MS), this::poll);
+        });
+    }
+
+    /**
+     * Logs when control is lost or back.
+     *
+     * @param answered whether control answered
+     * @param reply what was answered instead
+     */
+    private void noteContact(boolean answered, ControlReply reply) {
+        if (answered != inTouch) {
+            inTouch = answered;
+            if (answered) {
+                LOGGER.info("fleet: control answers again");
+            } else {
+                LOGGER.warn("fleet: control does not answer: {}", reply);
+            }
+        }
+    }
+
+    /**
+     * Takes the answer to a poll.
+     *
+     * @param changes what changed
+     * @param sentAt moment at which the poll was sent
+     */
+    private void take(Changes changes, GatewayClock sentAt) {
+        FleetView copy = view.get();
+        Optional<RouteTable> newer = newer(changes.fleet(), copy);
+        boolean news = newer.isPresent()
+                || changes.epoch() != copy.epoch()
+                || changes.version() != copy.version()
+                || !changes.gateways().equals(copy.gateways());
+        if (news) {
+            FleetView next = copy.apply(changes, newer);
+            if (newer.isPresent() || next.targets().size() != copy.targets().size()) {
+                LOGGER.info(
+                        "fleet: configuration {}, membership {}.{} with {} targets, {} gateways",
+                        next.configurationVersion(),
+                        next.epoch(),
+                        next.version(),
+                        next.targets().size(),
+                        next.gateways().size());
+            }
+            view.set(next);
+            listeners.forEach(listener -> listener.accept(next));
+        }
+        confirmed = sentAt;
+        control.learn(changes.controls());
+    }
+
+    /**
+     * Reads the configuration that came with an answer.
+     *
+     * @param text the configuration, or null
+     * @param copy the present copy
+     * @return the configuration if it is newer than the copy's
+     */
+    private Optional<RouteTable> newer(FleetText text, FleetView copy) {
+        if (text == null || text.version() <= copy.configurationVersion()) {
+            return Optional.empty();
+        }
+        FleetFormat format = formats.find(text.format())
+                .orElseThrow(() -> new IllegalStateException("no plug-in reads the format " + text.format()));
+        try (InflaterInputStream inflated = new InflaterInputStream(new ByteArrayInputStream(text.content()))) {
+            Result<FleetConfiguration, List<String>> result = format.read(inflated.readAllBytes());
+            if (result instanceof Result.Success<FleetConfiguration, List<String>> success) {
+                return Optional.of(new RouteTable(success.value()));
+            }
+            LOGGER.error("fleet: configuration {} cannot be read: {}", text.version(), result);
+        } catch (IOException damaged) {
+            LOGGER.error("fleet: configuration {} is damaged: {}", text.version(), damaged.getMessage());
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
@@ -0,0 +1,436 @@
+package org.bamboohatch.gateway.forward;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpHeaders;
+import org.bamboohatch.document.fleet.EngineModel;
+import org.bamboohatch.gateway.Dialect;
+import org.bamboohatch.gateway.GatewayClock;
+import org.bamboohatch.gateway.GatewaySettings;
+import org.bamboohatch.gateway.configuration.FleetStore;
+import org.bamboohatch.gateway.configuration.FleetView;
+import org.bamboohatch.gateway.forward.Admission.Admitted;
+import org.bamboohatch.gateway.forward.Admission.Refused;
+import org.bamboohatch.gateway.http.Exchanges;
+import org.bamboohatch.gateway.http.InboundRequest;
+import org.bamboohatch.gateway.http.Responder;
+import org.bamboohatch.gateway.load.LoadBook;
+import org.bamboohatch.gateway.target.TargetAddress;
+import org.bamboohatch.gateway.target.TargetPool;
+import org.bamboohatch.kernel.id.ServiceName;
+import org.bamboohatch.kernel.id.TargetName;
+import org.bamboohatch.kernel.log.DecisionLog;
+import org.bamboohatch.kernel.log.DecisionLog.Weight;
+import org.bamboohatch.routing.fleet.Demand;
+import org.bamboohatch.routing.fleet.Placement;
+import org.bamboohatch.routing.fleet.PlacementPolicy;
+import org.bamboohatch.routing.retry.SharedBudget;
+
+/** Forwards requests to targets; used on the thread of all callers only. */
+public final class Forwarder implements Exchanges {
+
+    /** Time for opening a connection to an engine, in milliseconds. */
+    private static final int ENGINE_CONNECT_MS = 700;
+
+    /** Time for opening a connection to a plain service, in milliseconds. */
+    private static final int PLAIN_CONNECT_MS = 250;
+
+    /** Silence within a stream after which its target is given up, in milliseconds. */
+    private static final long STREAM_SILENCE_MS = 1_400;
+
+    /** Silence before the first event after which a target is given up, in milliseconds. */
+    private static final long FIRST_SILENCE_MS = 4_000;
+
+    /** Silence of a plain service in relation to the route's target latency. */
+    private static final double PLAIN_SILENCE_FACTOR = 2;
+
+    /** The settings. */
+    private final GatewaySettings settings;
+
+    /** Names of the header fields. */
+    private final Dialect dialect;
+
+    /** The thread of all callers. */
+    private final EventLoop loop;
+
+    /** The gateway's copy of the configuration. */
+    private final FleetStore store;
+
+    /** Decides whether requests are let in. */
+    private final RequestGate gate;
+
+    /** Chooses header fields. */
+    private final OutboundHeaders outbound;
+
+    /** Connections to targets. */
+    private final TargetPool pool;
+
+    /** Work at targets. */
+    private final LoadBook book;
+
+    /** The targets. */
+    private final Targets targets;
+
+    /** Budgets of repeated sends by service. */
+    private final Map<ServiceName, SharedBudget> budgets = new HashMap<>();
+
+    /** Log of the decisions. */
+    private final DecisionLog log = new DecisionLog("request");
+
+    /** Requests that are under way. */
+    private int open;
+
+    /**
+     * Creates a forwarder.
+     *
+     * @param settings the settings
+     * @param dialect names of the header fields
+     * @param loop the thread of all callers
+     * @param store the gateway's copy of the configuration
+     * @param book work at targets
+     */
+    public Forwarder(GatewaySettings settings, Dialect dialect, EventLoop loop, FleetStore store, LoadBook book) {
+        this.settings = settings;
+        this.dialect = dialect;
+        this.loop = loop;
+        this.store = store;
+        this.book = book;
+        this.gate = new RequestGate(dialect, settings.freshnessMillis());
+        this.outbound = new OutboundHeaders(dialect);
+        this.pool = new TargetPool(loop, dialect.requestId());
+        this.targets = new Targets(settings.zone(), book);
+    }
+
+    /**
+     * Takes a new copy of the membership.
+     *
+     * @param view the copy
+     */
+    public void apply(FleetView view) {
+        Set<TargetAddress> present = targets.apply(view);
+        pool.retain(present, GatewayClock.now());
+    }
+
+    /**
+     * Counts the requests that are under way.
+     *
+     * @return their number
+     */
+    public int open() {
+        return open;
+    }
+
+    @Override
+    public Listener begin(InboundRequest request, Responder responder) {
+        GatewayClock now = GatewayClock.read();
+        Admission admission = gate.decide(request, store.view(), store.age(now));
+        if (admission instanceof Refused refused) {
+            log.line(Weight.FAILURE, "turned-away")
+                    .with("request", request.headers().get(dialect.requestId()))
+                    .with("code", refused.refusal().code().word())
+                    .with("configuration", store.view().configurationVersion())
+                    .with("ageMs", store.age(now))
+                    .write();
+            responder.refuse(refused.refusal());
+            return Idle.INSTANCE;
+        }
+        Admitted admitted = (Admitted) admission;
+        ServiceName service = admitted.service().name();
+        budgets.put(service, budget(service, now.monotonic()).earn(terms()));
+        Forwarding forwarding = new Forwarding(this, request, responder, admitted, demand(request, admitted));
+        open++;
+        forwarding.begin();
+        return forwarding;
+    }
+
+    /**
+     * Reads what a request asks of a target.
+     *
+     * @param request the request
+     * @param admitted what the admission found
+     * @return the demand
+     */
+    private Demand demand(InboundRequest request, Admitted admitted) {
+        long prompt = 0;
+        long answer = 0;
+        String counts = request.headers().get(dialect.tokenCounts());
+        if (counts != null && admitted.service().engine().isPresent()) {
+            String[] parts = counts.split(",");
+            prompt = parse(parts[0]);
+            answer = parts.length > 1 ? parse(parts[1]) : 0;
+            answer = Math.min(answer, request.number(dialect.lengthHint(), answer));
+        }
+        return new Demand(
+                prompt,
+                answer,
+                admitted.route().targetLatencyMillis(),
+                admitted.route().maximumGapMillis());
+    }
+
+    /**
+     * Reads a number of tokens.
+     *
+     * @param text the text
+     * @return the number, zero if it is none
+     */
+    private static long parse(String text) {
+        try {
+            return Math.max(0, Long.parseLong(text.strip()));
+        } catch (NumberFormatException malformed) {
+            return 0;
+        }
+    }
+
+    /**
+     * Chooses targets for a request.
+     *
+     * @param admitted what the admission found
+     * @param demand what the request asks
+     * @param tried targets that it was sent to already
+     * @param now the present time
+     * @return the choice, empty if there is no target
+     */
+    Optional<Placement> place(Admitted admitted, Demand demand, Set<TargetName> tried, long now) {
+        Optional<EngineModel> engine =
+                demand.isGeneration() ? admitted.service().engine() : Optional.empty();
+        PlacementPolicy policy = PlacementPolicy.FEWEST_RUNS;
+        return policy.place(demand, targets.candidates(admitted.service().name(), tried, now), engine);
+    }
+
+    /**
+     * Tells whether there is a target that the request was not sent to yet.
+     *
+     * @param admitted what the admission found
+     * @param tried targets that it was sent to already
+     * @param now the present time
+     * @return whether there is one
+     */
+    boolean hasTarget(Admitted admitted, Set<TargetName> tried, long now) {
+        return !targets.candidates(admitted.service().name(), tried, now).isEmpty();
+    }
+
+    /**
+     * Notes the work of a request at its targets.
+     *
+     * @param admitted what the admission found
+     * @param demand what the request asks
+     * @param placement the targets
+     * @param now the present time
+     * @return the tickets of the work
+     */
+    List<LoadBook.Ticket> register(Admitted admitted, Demand demand, Placement placement, long now) {
+        List<LoadBook.Ticket> tickets = new ArrayList<>();
+        int readers = 1 + placement.helpers().size();
+        double reading = admitted.service()
+                .engine()
+                .map(model -> model.readMillis(demand.promptTokens()) / readers)
+                .orElse(0.0);
+        boolean shortPauses = demand.isGeneration();
+        tickets.add(book.add(
+                placement.target(), demand.promptTokens(), demand.memoryTokens(), shortPauses, true, reading, now));
+        for (TargetName helper : placement.helpers()) {
+            tickets.add(book.add(helper, demand.promptTokens() / readers, 0, false, false, reading, now));
+        }
+        return tickets;
+    }
+
+    /**
+     * Makes the header fields for a target.
+     *
+     * @param request the request
+     * @param admitted what the admission found
+     * @param placement the targets
+     * @param leftMillis time that is left for the answer, in milliseconds
+     * @return the fields
+     */
+    HttpHeaders headers(InboundRequest request, Admitted admitted, Placement placement, long leftMillis) {
+        HttpHeaders headers =
+                outbound.request(request, leftMillis, placement.target().value());
+        admitted.account()
+                .ifPresent(
+                        account -> headers.set(dialect.account(), account.name().value()));
+        return headers;
+    }
+
+    /**
+     * Makes the header fields for a caller.
+     *
+     * @param answer the target's fields
+     * @return the fields
+     */
+    HttpHeaders answerHeaders(HttpHeaders answer) {
+        return outbound.answer(answer);
+    }
+
+    /**
+     * Returns the time for opening a connection.
+     *
+     * @param demand what the request asks
+     * @return the time in milliseconds
+     */
+    int connectMillis(Demand demand) {
+        return demand.isGeneration() ? ENGINE_CONNECT_MS : PLAIN_CONNECT_MS;
+    }
+
+    /**
+     * Tells for how long a target may be silent.
+     *
+     * @param admitted what the admission found
+     * @param demand what the request asks
+     * @param writing whether events have been coming
+     * @return the time in milliseconds
+     */
+    long silenceMillis(Admitted admitted, Demand demand, boolean writing) {
+        if (!demand.isGeneration()) {
+            return (long) (PLAIN_SILENCE_FACTOR * admitted.route().targetLatencyMillis());
+        }
+        return writing ? STREAM_SILENCE_MS : FIRST_SILENCE_MS;
+    }
+
+    /**
+     * Returns what the budget of repeated sends allows.
+     *
+     * @return the terms
+     */
+    private SharedBudget.Terms terms() {
+        return new SharedBudget.Terms(
+                settings.retryRatio(),
+                settings.retryReserve(),
+                settings.retryWindowMillis(),
+                Math.max(1, store.view().gateways().size()));
+    }
+
+    /**
+     * Returns the budget of a service.
+     *
+     * @param service the service
+     * @param now the present time
+     * @return the budget
+     */
+    private SharedBudget budget(ServiceName service, long now) {
+        SharedBudget.Terms terms = terms();
+        return budgets.getOrDefault(service, SharedBudget.full(terms, now)).at(terms, now);
+    }
+
+    /**
+     * Tells whether a repeated send is covered.
+     *
+     * @param admitted what the admission found
+     * @param now the present time
+     * @return whether the budget of its service covers it
+     */
+    boolean hasBudget(Admitted admitted, long now) {
+        return budget(admitted.service().name(), now).covers();
+    }
+
+    /**
+     * Takes a repeated send from the budget.
+     *
+     * @param admitted what the admission found
+     * @param now the present time
+     * @return whether it was covered
+     */
+    boolean takeBudget(Admitted admitted, long now) {
+        ServiceName service = admitted.service().name();
+        SharedBudget budget = budget(service, now);
+        if (!budget.covers()) {
+            return false;
+        }
+        budgets.put(service, budget.spend());
+        return true;
+    }
+
+    /**
+     * Takes note of the beginning of an answer.
+     *
+     * @param forwarding the request
+     * @param attempt the attempt that answers
+     * @param now the present time
+     */
+    void onFirst(Forwarding forwarding, Attempt attempt, long now) {
+        log(Weight.ROUTINE, "first", forwarding)
+                .with("target", attempt.target().target())
+                .with("afterMs", now - attempt.beganAt())
+                .with("sinceArrivalMs", now - forwarding.request().arrivedAt())
+                .write();
+    }
+
+    /**
+     * Takes note of the end of a request.
+     *
+     * @param forwarding the request
+     */
+    void onEnd(Forwarding forwarding) {
+        open--;
+    }
+
+    /**
+     * Begins a line about a request.
+     *
+     * @param weight how much it matters
+     * @param event what was decided
+     * @param forwarding the request
+     * @return the line
+     */
+    DecisionLog.Line log(Weight weight, String event, Forwarding forwarding) {
+        return forwarding.describe(log.line(weight, event));
+    }
+
+    /**
+     * Returns the names of header fields.
+     *
+     * @return the names
+     */
+    Dialect dialect() {
+        return dialect;
+    }
+
+    /**
+     * Returns the thread of all callers.
+     *
+     * @return the thread
+     */
+    EventLoop loop() {
+        return loop;
+    }
+
+    /**
+     * Returns the connections to targets.
+     *
+     * @return the pool
+     */
+    TargetPool pool() {
+        return pool;
+    }
+
+    /**
+     * Returns the targets.
+     *
+     * @return the targets
+     */
+    Targets targets() {
+        return targets;
+    }
+
+    /** Listener of a request that was turned away. */
+    private enum Idle implements Listener {
+        /** The only instance. */
+        INSTANCE;
+
+        @Override
+        public void onGone() {
+            // There is no work to cancel.
+        }
+
+        @Override
+        public void onWritable() {
+            // There is nothing more to send.
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarding.java
@@ -0,0 +1,500 @@
+package org.bamboohatch.gateway.forward;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.util.concurrent.Future;
+import org.bamboohatch.gateway.Dialect;
+import org.bamboohatch.gateway.GatewayClock;
+import org.bamboohatch.gateway.forward.Admission.Admitted;
+import org.bamboohatch.gateway.http.Exchanges;
+import org.bamboohatch.gateway.http.InboundRequest;
+import org.bamboohatch.gateway.http.Responder;
+import org.bamboohatch.gateway.load.LoadBook;
+import org.bamboohatch.gateway.target.TargetAddress;
+import org.bamboohatch.gateway.target.TargetConnection;
+import org.bamboohatch.kernel.id.TargetName;
+import org.bamboohatch.kernel.log.DecisionLog;
+import org.bamboohatch.kernel.log.DecisionLog.Weight;
+import org.bamboohatch.kernel.outcome.ErrorCode;
+import org.bamboohatch.kernel.outcome.Refusal;
+import org.bamboohatch.kernel.outcome.RunOutcome;
+import org.bamboohatch.routing.fleet.Demand;
+import org.bamboohatch.routing.fleet.Placement;
+
+/** One admitted request from its admission to the end of its answer. */
+final class Forwarding implements Exchanges.Listener {
+
+    /** Connections that may fail to open before a request is given up. */
+    private static final int MAX_CONNECT_FAILURES = 4;
+
+    /** Time after which a caller should ask again when no target could be reached. */
+    private static final Duration NO_TARGET_RETRY = Duration.ofMillis(300);
+
+    /** What all requests share. */
+    private final Forwarder forwarder;
+
+    /** The request. */
+    private final InboundRequest request;
+
+    /** Takes the answer. */
+    private final Responder responder;
+
+    /** What the admission found. */
+    private final Admitted admitted;
+
+    /** What the request asks of a target. */
+    private final Demand demand;
+
+    /** Cuts the stream of the answer. */
+    private final EventCutter cutter = new EventCutter();
+
+    /** Targets that the request was sent to, or that could not be reached. */
+    private final Set<TargetName> tried = new HashSet<>();
+
+    /** Requests that were handed to a connection. */
+    private int sends;
+
+    /** Requests among them that may have run. */
+    private int runs;
+
+    /** Connections that could not be opened. */
+    private int connectFailures;
+
+    /** The attempt under way, or null. */
+    private Attempt current;
+
+    /** Whether the head of the answer was sent to the caller. */
+    private boolean answering;
+
+    /** Whether the answer is complete or was given up. */
+    private boolean over;
+
+    /** Ends the request when its time has run out. */
+    private Future<?> deadline;
+
+    /**
+     * Creates a request.
+     *
+     * @param forwarder what all requests share
+     * @param request the request
+     * @param responder takes the answer
+     * @param admitted what the admission found
+     * @param demand what the request asks of a target
+     */
+    Forwarding(Forwarder forwarder, InboundRequest request, Responder responder, Admitted admitted, Demand demand) {
+        this.forwarder = forwarder;
+        this.request = request;
+        this.responder = responder;
+        this.admitted = admitted;
+        this.demand = demand;
+    }
+
+    /** Begins to serve the request. */
+    void begin() {
+        long now = GatewayClock.now();
+        deadline = loop().schedule(this::onDeadline, Math.max(0, admitted.deadline() - now), TimeUnit.MILLISECONDS);
+        dispatch();
+    }
+
+    /**
+     * Returns the request.
+     *
+     * @return the request
+     */
+    InboundRequest request() {
+        return request;
+    }
+
+    /**
+     * Returns what takes the answer.
+     *
+     * @return the responder
+     */
+    Responder responder() {
+        return responder;
+    }
+
+    /**
+     * Returns the cutter of the answer's stream.
+     *
+     * @return the cutter
+     */
+    EventCutter cutter() {
+        return cutter;
+    }
+
+    /**
+     * Returns the names of header fields.
+     *
+     * @return the names
+     */
+    Dialect dialect() {
+        return forwarder.dialect();
+    }
+
+    /**
+     * Returns the thread of all callers.
+     *
+     * @return the thread
+     */
+    EventLoop loop() {
+        return forwarder.loop();
+    }
+
+    /** Sends the request to the target that suits it best now. */
+    private void dispatch() {
+        long now = GatewayClock.now();
+        Optional<Placement> placement = forwarder.place(admitted, demand, tried, now);
+        if (placement.isEmpty()) {
+            giveUp(now, "no target left");
+            return;
+        }
+        TargetAddress target = forwarder.targets().find(placement.get().target());
+        long left = admitted.deadline() - now;
+        HttpHeaders headers = forwarder.headers(request, admitted, placement.get(), left);
+        cutter.lastId().ifPresent(id -> headers.set(dialect().lastEventId(), id));
+        List<LoadBook.Ticket> tickets = forwarder.register(admitted, demand, placement.get(), now);
+        Attempt attempt = new Attempt(this, target, headers, tickets, now);
+        current = attempt;
+        forwarder
+                .log(Weight.ROUTINE, "placed", this)
+                .with("target", target.target())
+                .with("predictedMs", Math.round(placement.get().firstMillis()))
+                .with("helpers", placement.get().helpers().size())
+                .with("send", sends + 1)
+                .with("leftMs", left)
+                .write();
+        int connectMillis = (int) Math.max(1, Math.min(forwarder.connectMillis(demand), left));
+        forwarder
+                .pool()
+                .acquire(
+                        target,
+                        !admitted.route().mayRepeat(),
+                        connectMillis,
+                        now,
+                        connection -> opened(attempt, connection));
+    }
+
+    /**
+     * Takes the connection of an attempt.
+     *
+     * @param attempt the attempt
+     * @param connection the connection, or null if none could be opened
+     */
+    private void opened(Attempt attempt, TargetConnection connection) {
+        if (attempt.isOver()) {
+            if (connection != null) {
+                forwarder.pool().giveBack(connection, GatewayClock.now());
+            }
+            return;
+        }
+        tried.add(attempt.target().target());
+        if (connection == null) {
+            attempt.cancel();
+            connectFailures++;
+            forwarder.targets().failed(attempt.target(), GatewayClock.now());
+            forwarder
+                    .log(Weight.FAILURE, "unreachable", this)
+                    .with("target", attempt.target().target())
+                    .write();
+            dispatch();
+            return;
+        }
+        sends++;
+        runs++;
+        forwarder.targets().dispatched(attempt.target());
+        attempt.send(connection);
+    }
+
+    /**
+     * Tells whether a target says that it did not run the request.
+     *
+     * @param head head of its answer
+     * @return whether it says so
+     */
+    boolean isNotExecuted(HttpResponse head) {
+        return head.status().code() == ErrorStatus.MISDIRECTED
+                || head.headers().contains(dialect().notExecuted());
+    }
+
+    /**
+     * Decides what follows when a target did not run the request.
+     *
+     * @param attempt the attempt
+     * @param head head of the answer
+     */
+    void onNotExecuted(Attempt attempt, HttpResponse head) {
+        long now = GatewayClock.now();
+        runs--;
+        boolean misdirected = head.status().code() == ErrorStatus.MISDIRECTED;
+        if (misdirected) {
+            forwarder.targets().failed(attempt.target(), now);
+        }
+        forwarder
+                .log(Weight.FAILURE, "not-executed", this)
+                .with("target", attempt.target().target())
+                .with("status", head.status().code())
+                .write();
+        if (over) {
+            return;
+        }
+        if (maySendAgain(now)) {
+            dispatch();
+        } else {
+            giveUp(now, "refused by " + attempt.target().target());
+        }
+    }
+
+    /**
+     * Tells whether a failed answer should be replaced by another target's.
+     *
+     * @param attempt the attempt
+     * @param head head of the failed answer
+     * @return whether the request may be sent again
+     */
+    boolean wantsAnother(Attempt attempt, HttpResponse head) {
+        boolean failed = head.status().code() >= ErrorStatus.SERVER_ERROR;
+        return failed && !answering && admitted.route().mayRepeat() && mayTakeBudget(GatewayClock.now());
+    }
+
+    /**
+     * Sends the request to another target after a failed answer.
+     *
+     * @param attempt the attempt
+     * @param head head of the failed answer
+     */
+    void onFailedAnswer(Attempt attempt, HttpResponse head) {
+        forwarder.targets().failed(attempt.target(), GatewayClock.now());
+        forwarder
+                .log(Weight.FAILURE, "failed-answer", this)
+                .with("target", attempt.target().target())
+                .with("status", head.status().code())
+                .write();
+        forwarder.takeBudget(admitted, GatewayClock.now());
+        dispatch();
+    }
+
+    /**
+     * Decides what follows when an answer was lost on its way.
+     *
+     * @param attempt the attempt
+     * @param reason why
+     */
+    void onLost(Attempt attempt, String reason) {
+        long now = GatewayClock.now();
+        forwarder.targets().failed(attempt.target(), now);
+        forwarder
+                .log(Weight.FAILURE, "lost", this)
+                .with("target", attempt.target().target())
+                .with("reason", reason)
+                .with("afterMs", now - attempt.beganAt())
+                .with("events", cutter.events())
+                .write();
+        cutter.dropPartial();
+        if (over) {
+            return;
+        }
+        boolean resumable = !answering || cutter.lastId().isPresent();
+        if (resumable && admitted.route().mayRepeat() && maySendAgain(now)) {
+            dispatch();
+        } else {
+            giveUp(now, reason);
+        }
+    }
+
+    /**
+     * Decides what follows when a target has been silent for too long.
+     *
+     * @param attempt the attempt
+     * @param silentMillis time since its last sign
+     */
+    void onSilent(Attempt attempt, long silentMillis) {
+        long now = GatewayClock.now();
+        if (!admitted.route().mayRepeat() || !mayTakeBudget(now)) {
+            return;
+        }
+        attempt.cancel();
+        onLost(attempt, "silent for " + silentMillis + " ms");
+    }
+
+    /**
+     * Tells for how long a target may be silent.
+     *
+     * @param attempt the attempt
+     * @param writing whether events have been coming
+     * @return the time in milliseconds
+     */
+    long silenceMillis(Attempt attempt, boolean writing) {
+        return forwarder.silenceMillis(admitted, demand, writing);
+    }
+
+    /**
+     * Tells whether another send is allowed, and takes it from the budget.
+     *
+     * @param now the present time
+     * @return whether the request may be sent again
+     */
+    private boolean maySendAgain(long now) {
+        return mayTakeBudget(now) && forwarder.takeBudget(admitted, now);
+    }
+
+    /**
+     * Tells whether another send is allowed.
+     *
+     * @param now the present time
+     * @return whether attempts, time and budget are left
+     */
+    private boolean mayTakeBudget(long now) {
+        return sends < admitted.route().maximumAttempts()
+                && now < admitted.deadline()
+                && forwarder.hasBudget(admitted, now)
+                && forwarder.hasTarget(admitted, tried, now);
+    }
+
+    /**
+     * Sends the head of the answer, once.
+     *
+     * @param attempt the attempt that answers
+     * @param head head of the target's answer
+     * @param length length of the body, negative if it is not known
+     */
+    void beginAnswer(Attempt attempt, HttpResponse head, long length) {
+        if (answering || over) {
+            return;
+        }
+        answering = true;
+        responder.head(head.status(), forwarder.answerHeaders(head.headers()), length);
+        forwarder.onFirst(this, attempt, GatewayClock.now());
+    }
+
+    /**
+     * Takes note of a complete answer.
+     *
+     * @param attempt the attempt
+     * @param head head of the target's answer
+     */
+    void onAnswered(Attempt attempt, HttpResponse head) {
+        if (over) {
+            return;
+        }
+        responder.end();
+        if (head.status().code() < ErrorStatus.SERVER_ERROR) {
+            forwarder.targets().succeeded(attempt.target());
+        }
+        finish("answered", Weight.ROUTINE, String.valueOf(head.status().code()));
+    }
+
+    /**
+     * Ends the request without an answer of a target.
+     *
+     * @param now the present time
+     * @param reason why
+     */
+    private void giveUp(long now, String reason) {
+        if (over) {
+            return;
+        }
+        if (answering) {
+            responder.abort();
+            finish("aborted", Weight.FAILURE, reason);
+        } else if (runs > 0) {
+            boolean late = now >= admitted.deadline();
+            ErrorCode code = late ? ErrorCode.DEADLINE_EXCEEDED : ErrorCode.TARGET_FAILED;
+            responder.refuse(Refusal.notRun(code, "No answer of a target: " + reason + ".")
+                    .withOutcome(RunOutcome.UNKNOWN));
+            finish("failed", Weight.FAILURE, reason);
+        } else {
+            responder.refuse(Refusal.notRun(ErrorCode.NO_TARGET, "No target took the request: " + reason + ".")
+                    .withRetryAfter(NO_TARGET_RETRY));
+            finish("refused", Weight.FAILURE, reason);
+        }
+    }
+
+    /** Ends the request because its time has run out. */
+    private void onDeadline() {
+        if (!over) {
+            Attempt attempt = current;
+            giveUp(GatewayClock.now(), "deadline passed");
+            if (attempt != null) {
+                attempt.cancel();
+            }
+        }
+    }
+
+    @Override
+    public void onGone() {
+        if (!over) {
+            Attempt attempt = current;
+            finish("caller-gone", Weight.ROUTINE, "caller closed its connection");
+            if (attempt != null) {
+                attempt.cancel();
+            }
+        }
+    }
+
+    @Override
+    public void onWritable() {
+        if (current != null) {
+            current.resumeReading();
+        }
+    }
+
+    /**
+     * Ends the request.
+     *
+     * @param event how it ended
+     * @param weight how much that matters
+     * @param detail further words
+     */
+    private void finish(String event, Weight weight, String detail) {
+        over = true;
+        deadline.cancel(false);
+        forwarder
+                .log(weight, event, this)
+                .with("detail", detail)
+                .with("sends", sends)
+                .with("events", cutter.events())
+                .with("tookMs", GatewayClock.now() - request.arrivedAt())
+                .write();
+        forwarder.onEnd(this);
+    }
+
+    /**
+     * Adds to a line what names the request.
+     *
+     * @param line the line
+     * @return the line
+     */
+    DecisionLog.Line describe(DecisionLog.Line line) {
+        return line.with("request", request.headers().get(dialect().requestId()))
+                .with("route", admitted.route().name())
+                .with("service", admitted.service().name())
+                .with(
+                        "account",
+                        admitted.account()
+                                .map(account -> account.name().value())
+                                .orElse(""))
+                .with("promptTokens", demand.promptTokens());
+    }
+
+    /** Statuses of HTTP that decide. */
+    private static final class ErrorStatus {
+
+        /** The target is not the expected one. */
+        static final int MISDIRECTED = 421;
+
+        /** The first status of a target's own failure. */
+        static final int SERVER_ERROR = 500;
+
+        /** Not instantiated. */
+        private ErrorStatus() {}
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/bamboohatch/gateway/http/Exchanges.java
@@ -0,0 +1,24 @@
+package org.bamboohatch.gateway.http;
+
+/** Takes the requests of callers. */
+public interface Exchanges {
+
+    /**
+     * Takes a request.
+     *
+     * @param request the request
+     * @param responder takes its answer
+     * @return hears what the caller does meanwhile
+     */
+    Listener begin(InboundRequest request, Responder responder);
+
+    /** Hears what a caller does while it waits for an answer. */
+    interface Listener {
+
+        /** The caller has gone. */
+        void onGone();
+
+        /** The caller takes more parts again. */
+        void onWritable();
+    }
+}
--- a/kernel/src/main/java/org/bamboohatch/kernel/outcome/ErrorCode.java
+++ b/kernel/src/main/java/org/bamboohatch/kernel/outcome/ErrorCode.java
@@ -12,6 +12,10 @@
     METHOD_NOT_ALLOWED(405),
     /** The idempotency key was used with another body. */
     KEY_REUSED(422),
+    /** The request did not arrive in time. */
+    REQUEST_TIMEOUT(408),
+    /** The head of the request is over its bound. */
+    HEADERS_TOO_LARGE(431),
     /** The body is over its bound. */
     TOO_LARGE(413),
     /** The client account is over its share or limit. */
--- a/protocol/src/main/java/org/bamboohatch/protocol/client/ControlClient.java
+++ b/protocol/src/main/java/org/bamboohatch/protocol/client/ControlClient.java
@@ -32,7 +32,10 @@
     private final Network network;
 
     /** Addresses of the control processes. */
-    private final List<String> addresses;
+    private volatile List<String> addresses;
+
+    /** Time for one try, in milliseconds. */
+    private final long tryTimeoutMillis;
 
     /** Links by address. */
     private final Map<String, Link> links = new ConcurrentHashMap<>();
@@ -47,7 +50,19 @@
      * @param addresses addresses of the control processes
      */
     public ControlClient(Network network, List<String> addresses) {
+        this(network, addresses, Duration.ofMillis(TRY_TIMEOUT_MS));
+    }
+
+    /**
+     * Creates a client that gives up a process sooner or later than usual.
+     *
+     * @param network the network threads
+     * @param addresses addresses of the control processes
+     * @param tryTimeout time for one try
+     */
+    public ControlClient(Network network, List<String> addresses, Duration tryTimeout) {
         this.network = network;
+        this.tryTimeoutMillis = tryTimeout.toMillis();
         this.addresses = List.copyOf(addresses);
         this.leader = new AtomicReference<>(addresses.get(0));
     }
@@ -74,6 +89,17 @@
                 .orTimeout(timeout.toMillis(), java.util.concurrent.TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Takes note of the control processes that there are by now.
+     *
+     * @param present their addresses; an empty list changes nothing
+     */
+    public void learn(List<String> present) {
+        if (!present.isEmpty() && !present.equals(addresses)) {
+            addresses = List.copyOf(present);
+        }
+    }
+
     /** Closes the connections. */
     public void close() {
         links.values().forEach(Link::close);
@@ -93,7 +119,7 @@
             return;
         }
         String address = leader.get();
-        callOne(address, request, Duration.ofMillis(Math.min(left, TRY_TIMEOUT_MS)))
+        callOne(address, request, Duration.ofMillis(Math.min(left, tryTimeoutMillis)))
                 .whenComplete((message, problem) -> {
                     if (problem == null && !(message instanceof ControlReply.NotLeader)) {
                         answer.complete((ControlReply) message);
@@ -115,8 +141,9 @@
      */
     private void goOn(
             ControlRequest request, long deadline, CompletableFuture<ControlReply> answer, String failed, String hint) {
-        int next = (addresses.indexOf(failed) + 1) % addresses.size();
-        leader.compareAndSet(failed, hint.isEmpty() ? addresses.get(next) : hint);
+        List<String> known = addresses;
+        int next = (known.indexOf(failed) + 1) % known.size();
+        leader.compareAndSet(failed, hint.isEmpty() ? known.get(next) : hint);
         long pause = hint.isEmpty() || hint.equals(failed) ? PAUSE_MS : 0;
         network.after(Duration.ofMillis(pause), () -> attempt(request, deadline, answer));
     }
--- a/protocol/src/main/java/org/bamboohatch/protocol/message/ControlReply.java
+++ b/protocol/src/main/java/org/bamboohatch/protocol/message/ControlReply.java
@@ -127,6 +127,9 @@
      * @param departed targets that left or died
      * @param ledgerTime the present time of the ledger, in milliseconds
      * @param entries number of entries that admit requests
+     * @param fleet the fleet configuration if the copy is older, else null
+     * @param gateways addresses at which the other gateways take load reports
+     * @param controls addresses of the control processes
      */
     record Changes(
             long revision,
@@ -136,9 +139,33 @@
             List<TargetAnnouncement> joined,
             List<TargetName> departed,
             long ledgerTime,
-            int entries)
+            int entries,
+            FleetText fleet,
+            List<String> gateways,
+            List<String> controls)
             implements ControlReply {}
 
+    /**
+     * A fleet configuration was decided on.
+     *
+     * @param version the version that is held now, which is higher than the proposed one if that came too late
+     */
+    record FleetReplaced(long version) implements ControlReply {}
+
+    /**
+     * A target's announcement was taken.
+     *
+     * @param leader address of the process that leads
+     */
+    record Registered(String leader) implements ControlReply {}
+
+    /**
+     * The fleet configuration that is held.
+     *
+     * @param fleet the configuration, null if there is none
+     */
+    record Fleet(FleetText fleet) implements ControlReply {}
+
     /**
      * State of one replica.
      *
--- a/protocol/src/main/java/org/bamboohatch/protocol/message/ControlRequest.java
+++ b/protocol/src/main/java/org/bamboohatch/protocol/message/ControlRequest.java
@@ -4,6 +4,7 @@
 import org.bamboohatch.kernel.id.HostName;
 import org.bamboohatch.kernel.id.RunKey;
 import org.bamboohatch.kernel.id.ServiceName;
+import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.id.ZoneName;
 
 /** Requests to the control program; each has one reply. */
@@ -90,9 +91,57 @@
      * @param appliedRevision the configuration revision that it applies
      * @param epoch the epoch of its copy of the membership
      * @param version the version of its copy of the membership
+     * @param fleetVersion the version of the fleet configuration that it applies
+     * @param exchangeAddress address at which the holder takes the load reports of other gateways, empty for none
      */
-    record Poll(HostName holder, ZoneName zone, long appliedRevision, long epoch, long version)
-            implements ControlRequest {}
+    record Poll(
+            HostName holder,
+            ZoneName zone,
+            long appliedRevision,
+            long epoch,
+            long version,
+            long fleetVersion,
+            String exchangeAddress)
+            implements ControlRequest {
+
+        /**
+         * Creates the poll of a holder that uses neither the fleet configuration nor load reports.
+         *
+         * @param holder host of the process that polls
+         * @param zone its availability zone
+         * @param appliedRevision the configuration revision that it applies
+         * @param epoch the epoch of its copy of the membership
+         * @param version the version of its copy of the membership
+         */
+        public Poll(HostName holder, ZoneName zone, long appliedRevision, long epoch, long version) {
+            this(holder, zone, appliedRevision, epoch, version, Long.MAX_VALUE, "");
+        }
+    }
+
+    /**
+     * Replaces the fleet configuration if the version is higher than the one held.
+     *
+     * @param fleet the new configuration
+     */
+    record ReplaceFleet(FleetText fleet) implements ControlRequest {}
+
+    /**
+     * Announces a target that gateways call directly.
+     *
+     * @param announcement the target
+     */
+    record Register(TargetAnnouncement announcement) implements ControlRequest {}
+
+    /**
+     * Announces that a target is gone.
+     *
+     * @param target the target
+     * @param wallTime time of day at the receiver, in Unix milliseconds; earlier starts of the target never return
+     */
+    record Deregister(TargetName target, long wallTime) implements ControlRequest {}
+
+    /** Asks for the fleet configuration. */
+    record GetFleet() implements ControlRequest {}
 
     /** Asks a replica for its own state. */
     record GetStatus() implements ControlRequest {}
--- a/protocol/src/main/java/org/bamboohatch/protocol/message/MessageCodec.java
+++ b/protocol/src/main/java/org/bamboohatch/protocol/message/MessageCodec.java
@@ -3,6 +3,10 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -27,12 +31,10 @@
         mapper.configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
         mapper.setDefaultPropertyInclusion(JsonInclude.Include.NON_NULL);
         Plugins<MessageCatalog> catalogs = Plugins.load(MessageCatalog.class);
-        for (String name : catalogs.names()) {
-            for (Class<? extends Message> type :
-                    catalogs.find(name).orElseThrow().types()) {
-                mapper.registerSubtypes(new NamedType(type, type.getSimpleName()));
-            }
-        }
+        List<Class<? extends Message>> types = new ArrayList<>();
+        catalogs.names()
+                .forEach(name -> types.addAll(catalogs.find(name).orElseThrow().types()));
+        byName(types).forEach((name, type) -> mapper.registerSubtypes(new NamedType(type, name)));
     }
 
     /**
@@ -44,6 +46,24 @@
         return INSTANCE;
     }
 
+    /**
+     * Names message types for the wire.
+     *
+     * @param types the types
+     * @return the types by name
+     * @throws IllegalStateException if two types have the same name
+     */
+    static Map<String, Class<? extends Message>> byName(List<Class<? extends Message>> types) {
+        Map<String, Class<? extends Message>> named = new TreeMap<>();
+        for (Class<? extends Message> type : types) {
+            Class<? extends Message> other = named.putIfAbsent(type.getSimpleName(), type);
+            if (other != null) {
+                throw new IllegalStateException("two messages have the same name: " + type + ", " + other);
+            }
+        }
+        return named;
+    }
+
     /**
      * Encodes a value.
      *
--- a/protocol/src/main/java/org/bamboohatch/protocol/transport/Connection.java
+++ b/protocol/src/main/java/org/bamboohatch/protocol/transport/Connection.java
@@ -1,5 +1,6 @@
 package org.bamboohatch.protocol.transport;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -16,7 +17,10 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.timeout.ReadTimeoutException;
 import io.netty.handler.timeout.ReadTimeoutHandler;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.bamboohatch.protocol.message.ConnectionMessage;
 import org.bamboohatch.protocol.message.Frame;
 import org.bamboohatch.protocol.message.Message;
@@ -24,6 +28,9 @@
 /** The client's side of one connection, with many exchanges at the same time. */
 public final class Connection {
 
+    /** Logger of this part. */
+    private static final Logger LOGGER = LogManager.getLogger(Connection.class);
+
     /** The network threads. */
     private final Network network;
 
@@ -232,6 +239,12 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (!(cause instanceof IOException) && !(cause instanceof ReadTimeoutException)) {
+                LOGGER.warn(
+                        "connection: closes {} after a defect",
+                        context.channel().remoteAddress(),
+                        cause);
+            }
             context.close();
         }
     }
--- a/protocol/src/main/java/org/bamboohatch/protocol/transport/FrameServer.java
+++ b/protocol/src/main/java/org/bamboohatch/protocol/transport/FrameServer.java
@@ -1,5 +1,6 @@
 package org.bamboohatch.protocol.transport;
 
+import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -12,6 +13,7 @@
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.timeout.ReadTimeoutException;
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import org.apache.logging.log4j.LogManager;
@@ -114,6 +116,9 @@
                 malformed.incrementAndGet();
                 LOGGER.warn(
                         "server: closes {}: malformed frame", context.channel().remoteAddress());
+            } else if (!(cause instanceof IOException) && !(cause instanceof ReadTimeoutException)) {
+                LOGGER.warn(
+                        "server: closes {} after a defect", context.channel().remoteAddress(), cause);
             }
             context.close();
         }
--- a/protocol/src/test/java/org/bamboohatch/protocol/message/MessageCodecTest.java
+++ b/protocol/src/test/java/org/bamboohatch/protocol/message/MessageCodecTest.java
@@ -73,4 +73,13 @@
         assertThatThrownBy(() -> MessageCodec.instance().decode(foreign, Frame.class))
                 .isInstanceOf(IOException.class);
     }
+
+    /** Two catalogues once named a message of theirs alike, and every answer of agents was read as the other one. */
+    @Example
+    void twoMessagesWithTheSameNameAreRefused() {
+        record Ping() implements Message {}
+        assertThatThrownBy(() -> MessageCodec.byName(List.of(ConnectionMessage.Ping.class, Ping.class)))
+                .isInstanceOf(IllegalStateException.class)
+                .hasMessageContaining("same name");
+    }
 }
--- a/replication/src/main/java/org/bamboohatch/replication/consensus/ConsensusCore.java
+++ b/replication/src/main/java/org/bamboohatch/replication/consensus/ConsensusCore.java
@@ -28,6 +28,9 @@
  */
 public final class ConsensusCore {
 
+    /** Elections that a voter lets pass before it asks whether its group has replaced it. */
+    private static final int VOTER_PATIENCE_ELECTIONS = 3;
+
     /** Identity of this replica. */
     private final ReplicaId self;
 
@@ -40,6 +43,9 @@
     /** The log. */
     private final ReplicaLog log;
 
+    /** Voters that a leader aims at, zero for as many as there are, made odd. */
+    private final int wantedVoters;
+
     /** The latest term seen. */
     private long term;
 
@@ -65,14 +71,15 @@
     private Leadership leadership;
 
     /**
-     * Creates a replica from its durable state.
+     * Creates a replica that aims at a number of voters.
      *
-     * @param self identity of this replica
-     * @param timing the times of the consensus
-     * @param random draws election timeouts
-     * @param state the election state
-     * @param snapshot the last snapshot
-     * @param entries the stored entries
+     * @param self this replica
+     * @param timing the times
+     * @param random draws the election times
+     * @param state the durable state
+     * @param snapshot the snapshot
+     * @param entries the entries after the snapshot
+     * @param wantedVoters voters that a leader aims at, zero for as many as there are, made odd
      * @param now the present time
      */
     public ConsensusCore(
@@ -82,7 +89,9 @@
             HardState state,
             Snapshot snapshot,
             List<LogEntry> entries,
+            int wantedVoters,
             long now) {
+        this.wantedVoters = wantedVoters;
         this.self = self;
         this.timing = timing;
         this.random = random;
@@ -198,14 +207,41 @@
     }
 
     /**
-     * Tells whether this replica should ask to be taken in: it does not vote and no leader speaks to it. What its
-     * own log says of learners does not count, because that entry may never have been committed.
+     * Tells whether a quorum has followed this replica since a time, so that no other leader can have decided
+     * anything that this one does not know. Unlike a lease it holds whatever the clocks did meanwhile.
+     *
+     * @param since the time
+     * @param now the present time
+     * @return whether a read that arrived at the time may be answered
+     */
+    public boolean isConfirmedSince(long since, long now) {
+        return role == Role.LEADER
+                && log.appliedIndex() >= leadership.firstIndex()
+                && leadership.isConfirmedSince(since, now);
+    }
+
+    /**
+     * Asks the followers for a confirmation unless one is under way.
+     *
+     * @param now the present time
+     */
+    public void seekConfirmation(long now) {
+        if (role == Role.LEADER) {
+            leadership.seekConfirmation(now);
+        }
+    }
+
+    /**
+     * Tells whether the replica should look for a group that takes it in.
      *
      * @param now the present time
-     * @return whether it is outside of the group
+     * @return whether no leader has been heard for long; a voter waits longer, as its group may be electing
      */
     public boolean isOutside(long now) {
-        return !membership().isVoter(self) && now - lastLeaderContact > timing.electionMaximum();
+        long patience = membership().isVoter(self)
+                ? VOTER_PATIENCE_ELECTIONS * timing.electionMaximum()
+                : timing.electionMaximum();
+        return role != Role.LEADER && now - lastLeaderContact > patience;
     }
 
     /**
@@ -388,7 +424,7 @@
         } else if (role == Role.CANDIDATE) {
             role = Role.LEADER;
             leader = self;
-            leadership = new Leadership(this, self, timing, log, now);
+            leadership = new Leadership(this, self, timing, log, wantedVoters, now);
             log.appendOwn(term, EntryKind.NOOP, new byte[0]);
             leadership.replicate(now);
         }
--- a/replication/src/main/java/org/bamboohatch/replication/consensus/Leadership.java
+++ b/replication/src/main/java/org/bamboohatch/replication/consensus/Leadership.java
@@ -1,5 +1,6 @@
 package org.bamboohatch.replication.consensus;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,6 +28,12 @@
     /** Time after which unanswered appends count as lost, in heartbeats. */
     private static final int LOST_AFTER_HEARTBEATS = 4;
 
+    /** Silence after which a voter is replaced by a learner that is up to date, in milliseconds. */
+    static final long LOST_VOTER_MS = 2_500;
+
+    /** Least time between two confirmations that reads ask for, in milliseconds. */
+    private static final long CONFIRMATION_INTERVAL_MS = 8;
+
     /** The replica. */
     private final ConsensusCore core;
 
@@ -64,9 +71,10 @@
      * @param self identity of the replica
      * @param timing the times of the consensus
      * @param replicaLog the log
+     * @param wantedVoters voters to aim at, zero for as many as there are, made odd
      * @param now the present time
      */
-    Leadership(ConsensusCore core, ReplicaId self, Timing timing, ReplicaLog replicaLog, long now) {
+    Leadership(ConsensusCore core, ReplicaId self, Timing timing, ReplicaLog replicaLog, int wantedVoters, long now) {
         this.core = core;
         this.self = self;
         this.timing = timing;
@@ -74,7 +82,7 @@
         this.log = replicaLog.entries();
         this.firstIndex = log.lastIndex() + 1;
         this.ownMatch = log.lastIndex();
-        this.wantedVoters = Math.max(membership().voters().size(), oddAbove(membership()));
+        this.wantedVoters = wantedVoters > 0 ? wantedVoters : oddAbove(membership());
         updateFollowers(now);
     }
 
@@ -285,11 +293,55 @@
                 change(membership().without(predecessor.get().replica()), now);
                 return;
             }
-            if (predecessor.isEmpty() && membership().voters().size() < wantedVoters) {
+            int voters = membership().voters().size();
+            boolean wanted = voters < wantedVoters
+                    || voters == wantedVoters && silentVoter(now).isPresent();
+            if (predecessor.isEmpty() && wanted) {
                 change(membership().withVoter(learner), now);
                 return;
             }
         }
+        if (membership().voters().size() > wantedVoters) {
+            silentVoter(now).ifPresent(voter -> change(membership().without(voter.replica()), now));
+        }
+    }
+
+    /**
+     * Finds a voter that has been silent for long.
+     *
+     * @param now the present time
+     * @return the voter that was silent for longest
+     */
+    private Optional<Member> silentVoter(long now) {
+        return membership().voters().stream()
+                .filter(member -> !member.replica().equals(self))
+                .filter(member -> now - followers.get(member.replica()).acknowledgedSend() > LOST_VOTER_MS)
+                .min(Comparator.comparingLong(
+                        member -> followers.get(member.replica()).acknowledgedSend()));
+    }
+
+    /**
+     * Tells whether a quorum has answered a message that was sent since a time.
+     *
+     * @param since the time
+     * @param now the present time
+     * @return whether it has
+     */
+    boolean isConfirmedSince(long since, long now) {
+        return replicaLog.commitIndex() >= firstIndex && quorumContact(now) >= since;
+    }
+
+    /**
+     * Sends heartbeats unless they were just sent.
+     *
+     * @param now the present time
+     */
+    void seekConfirmation(long now) {
+        followers.forEach((replica, progress) -> {
+            if (progress.isHeartbeatDue(now, CONFIRMATION_INTERVAL_MS)) {
+                send(replica, progress, now);
+            }
+        });
     }
 
     /**
--- a/replication/src/main/java/org/bamboohatch/replication/driver/Founding.java
+++ b/replication/src/main/java/org/bamboohatch/replication/driver/Founding.java
@@ -26,6 +26,9 @@
     /** Addresses of the founding replicas. */
     private final List<String> peers;
 
+    /** Whether a group may be formed. */
+    private final boolean mayFound;
+
     /** Replies of empty hosts by address. */
     private final Map<String, Member> empty = new HashMap<>();
 
@@ -37,10 +40,12 @@
      *
      * @param self this replica
      * @param peers addresses of the founding replicas
+     * @param mayFound whether a group may be formed
      */
-    Founding(Member self, List<String> peers) {
+    Founding(Member self, List<String> peers, boolean mayFound) {
         this.self = self;
         this.peers = peers;
+        this.mayFound = mayFound;
         empty.put(self.address(), self);
     }
 
@@ -85,7 +90,7 @@
      * @return the snapshot, if every configured host is empty and this is the first by address
      */
     Optional<Snapshot> foundingSnapshot() {
-        boolean allEmpty = formed.isEmpty() && peers.stream().allMatch(empty::containsKey);
+        boolean allEmpty = mayFound && formed.isEmpty() && peers.stream().allMatch(empty::containsKey);
         boolean first =
                 peers.stream().min(Comparator.naturalOrder()).orElseThrow().equals(self.address());
         if (!allEmpty || !first) {
--- a/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaService.java
+++ b/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaService.java
@@ -4,9 +4,11 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -162,9 +164,10 @@
                 loaded.state(),
                 loaded.snapshot(),
                 loaded.entries(),
+                settings.wantedVoters(),
                 now());
         stepper = new ReplicaStepper(core, store, machine, settings.snapshotEntries());
-        founding = new Founding(self, settings.peers());
+        founding = new Founding(self, settings.peers(), settings.mayFound());
         LOGGER.info(
                 "replica: {} begins at index {} of term {}",
                 self.replica(),
@@ -370,7 +373,9 @@
     /** Asks the configured hosts for their state; forms a group or asks to be taken in. */
     private void tryFounding() {
         nextFounding = now() + FOUNDING_INTERVAL_MS;
-        for (String peer : settings.peers()) {
+        Set<String> addresses = new LinkedHashSet<>(settings.peers());
+        core.membership().everyone().map(Member::address).forEach(addresses::add);
+        for (String peer : addresses) {
             if (!peer.equals(settings.address())) {
                 send(peer, new Probe(self.replica(), self));
             }
--- a/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaSettings.java
+++ b/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaSettings.java
@@ -15,6 +15,8 @@
  * @param peers addresses of the founding replicas, this one included
  * @param replaces the host whose voter this replica replaces
  * @param snapshotEntries entries after which a snapshot is taken
+ * @param mayFound whether a group may be formed when every peer is empty
+ * @param wantedVoters voters that a leader aims at, zero for as many as there are, made odd
  * @param timing the times of the consensus
  */
 public record ReplicaSettings(
@@ -24,6 +26,8 @@
         List<String> peers,
         HostName replaces,
         int snapshotEntries,
+        boolean mayFound,
+        int wantedVoters,
         Timing timing) {
 
     /** Makes the list immutable. */
--- a/replication/src/main/java/org/bamboohatch/replication/storage/FolderDisk.java
+++ b/replication/src/main/java/org/bamboohatch/replication/storage/FolderDisk.java
@@ -112,6 +112,10 @@
         FileChannel channel = open.get(name);
         if (channel != null) {
             channel.force(false);
+            return;
+        }
+        try (FileChannel unopened = FileChannel.open(folder.resolve(name), StandardOpenOption.WRITE)) {
+            unopened.force(true);
         }
     }
 
--- a/replication/src/main/java/org/bamboohatch/replication/storage/LogStore.java
+++ b/replication/src/main/java/org/bamboohatch/replication/storage/LogStore.java
@@ -108,6 +108,8 @@
         for (Map.Entry<Long, String> segment : segments.entrySet()) {
             boolean last = segment.getKey().equals(segments.lastKey());
             loadSegment(segment.getValue(), last, entries);
+            // A process that was killed between a write and its sync left the write readable, not durable.
+            disk.sync(segment.getValue());
         }
         if (isReplaced(snapshot, entries)) {
             deleteSegments();
--- a/replication/src/test/java/org/bamboohatch/replication/consensus/ConsensusCoreTest.java
+++ b/replication/src/test/java/org/bamboohatch/replication/consensus/ConsensusCoreTest.java
@@ -40,7 +40,7 @@
         addressee = self.replica();
         Snapshot founding = new Snapshot(1, 0, membership, new byte[0]);
         return new ConsensusCore(
-                self.replica(), Timing.DEFAULT, new SplittableRandom(1), HardState.INITIAL, founding, List.of(), 0);
+                self.replica(), Timing.DEFAULT, new SplittableRandom(1), HardState.INITIAL, founding, List.of(), 0, 0);
     }
 
     private static boolean granted(ConsensusCore core) {
@@ -130,6 +130,7 @@
                 new HardState(1, null),
                 founding,
                 List.of(old),
+                0,
                 0);
         core.tick(2_000);
         core.receive(addressed(new VoteReply(TWO.replica(), 2, 1, true, true)), 2_001);
--- a/replication/src/test/java/org/bamboohatch/replication/simulation/SimulatedReplica.java
+++ b/replication/src/test/java/org/bamboohatch/replication/simulation/SimulatedReplica.java
@@ -112,6 +112,7 @@
                 loaded.state(),
                 loaded.snapshot(),
                 loaded.entries(),
+                0,
                 now());
         stepper = new ReplicaStepper(core, store, machine, SNAPSHOT_ENTRIES);
     }
--- /dev/null
+++ b/routing/src/main/java/org/bamboohatch/routing/fleet/PlacementPolicy.java
@@ -0,0 +1,42 @@
+package org.bamboohatch.routing.fleet;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+import org.bamboohatch.document.fleet.EngineModel;
+
+/** Ways to choose the target of a request. */
+public enum PlacementPolicy {
+    /** Baseline: the target with the fewest requests in relation to its slots, near ones first. */
+    FEWEST_RUNS {
+        @Override
+        public Optional<Placement> place(Demand demand, List<Candidate> candidates, Optional<EngineModel> engine) {
+            return candidates.stream()
+                    .min(Comparator.comparingDouble(PlacementPolicy::occupancy)
+                            .thenComparing(candidate -> !candidate.sameZone())
+                            .thenComparing(Candidate::name))
+                    .map(candidate -> new Placement(candidate.name(), List.of(), 0));
+        }
+    };
+
+    /**
+     * Chooses a target.
+     *
+     * @param demand what the request asks
+     * @param candidates the targets that may be chosen
+     * @param engine what the work costs if the targets are model engines
+     * @return the choice, empty if there is no candidate
+     */
+    public abstract Optional<Placement> place(Demand demand, List<Candidate> candidates, Optional<EngineModel> engine);
+
+    /**
+     * Returns the requests at a target in relation to its slots.
+     *
+     * @param candidate the target
+     * @return the share of its slots, over one if requests wait
+     */
+    static double occupancy(Candidate candidate) {
+        return candidate.pace() * (candidate.load().runs() + 1) / Math.max(1, candidate.slots());
+    }
+}
