--- a/control/src/test/java/org/bamboohatch/control/membership/TargetRegistryTest.java
+++ b/control/src/test/java/org/bamboohatch/control/membership/TargetRegistryTest.java
@@ -90,4 +90,60 @@
         assertThat(registry.isComplete(TargetRegistry.LEASE_MS - 1)).isFalse();
         assertThat(registry.isComplete(TargetRegistry.LEASE_MS)).isTrue();
     }
+
+    private static TargetAnnouncement numbered(
+            String name, String address, long incarnation, long sequence, boolean leaving) {
+        return new TargetAnnouncement(
+                new TargetName(name),
+                new ServiceName("portal"),
+                new HostName("host"),
+                new ZoneName("zone"),
+                address,
+                incarnation,
+                List.of(),
+                0,
+                1,
+                leaving,
+                sequence);
+    }
+
+    @Test
+    void aLateAnnouncementDoesNotUndoALaterOne() {
+        registry.announce(numbered("a", "127.0.0.1:1", 1, 5, false), 0);
+        registry.announce(numbered("a", "127.0.0.1:1", 1, 7, true), 10);
+        assertThat(registry.announce(numbered("a", "127.0.0.1:1", 1, 6, false), 20))
+                .isFalse();
+        assertThat(registry.live()).isEmpty();
+    }
+
+    @Test
+    void aTargetThatIsGoneReturnsOnlyAfterAnotherStart() {
+        registry.announce(numbered("a", "127.0.0.1:1", 100, 5, false), 0);
+        assertThat(registry.deregister(new TargetName("a"), 50_000)).isTrue();
+        assertThat(registry.announce(numbered("a", "127.0.0.1:1", 100, 9, false), 10))
+                .isFalse();
+        assertThat(registry.live()).isEmpty();
+        assertThat(registry.announce(numbered("a", "127.0.0.1:1", 101, 1, false), 20))
+                .isTrue();
+        assertThat(registry.live()).hasSize(1);
+    }
+
+    @Test
+    void aDepartureThatIsHeardBeforeTheTargetHoldsForItsStart() {
+        assertThat(registry.deregister(new TargetName("a"), 50_000)).isFalse();
+        assertThat(registry.announce(numbered("a", "127.0.0.1:1", 40_000, 9, false), 10))
+                .isFalse();
+        assertThat(registry.announce(numbered("a", "127.0.0.1:1", 50_500, 1, false), 10))
+                .isTrue();
+    }
+
+    @Test
+    void anAddressBelongsToTheLatestStart() {
+        registry.announce(numbered("old", "127.0.0.1:1", 100, 5, false), 0);
+        registry.announce(numbered("new", "127.0.0.1:1", 200, 1, false), 10);
+        assertThat(registry.live()).extracting(TargetAnnouncement::target).containsExactly(new TargetName("new"));
+        assertThat(registry.announce(numbered("old", "127.0.0.1:1", 100, 6, false), 20))
+                .isFalse();
+        assertThat(registry.live()).extracting(TargetAnnouncement::target).containsExactly(new TargetName("new"));
+    }
 }
--- a/gateway/src/main/java/org/bamboohatch/gateway/configuration/FleetStore.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/configuration/FleetStore.java
@@ -31,7 +31,7 @@
 
 /** Keeps the gateway's copy of the configuration and membership by polling control. */
 @Singleton
-public final class FleetStore implements Service {
+public final class FleetStore implements FleetCopy, Service {
 
     /** Logger of this part. */
     private static final Logger LOGGER = LogManager.getLogger(FleetStore.class);
@@ -83,21 +83,12 @@
         this.network = network;
     }
 
-    /**
-     * Returns the present copy.
-     *
-     * @return the copy
-     */
+    @Override
     public FleetView view() {
         return view.get();
     }
 
-    /**
-     * Tells how old the copy may be.
-     *
-     * @param now the present moment
-     * @return time since the copy was the newest for certain, in milliseconds
-     */
+    @Override
     public long age(GatewayClock now) {
         return now.since(confirmed);
     }
@@ -190,7 +181,11 @@
             view.set(next);
             listeners.forEach(listener -> listener.accept(next));
         }
-        confirmed = sentAt;
+        boolean unreadable = changes.fleet() != null
+                && changes.fleet().version() > view.get().configurationVersion();
+        if (!unreadable) {
+            confirmed = sentAt;
+        }
         control.learn(changes.controls());
     }
 
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -13,7 +14,7 @@
 import org.bamboohatch.gateway.Dialect;
 import org.bamboohatch.gateway.GatewayClock;
 import org.bamboohatch.gateway.GatewaySettings;
-import org.bamboohatch.gateway.configuration.FleetStore;
+import org.bamboohatch.gateway.configuration.FleetCopy;
 import org.bamboohatch.gateway.configuration.FleetView;
 import org.bamboohatch.gateway.forward.Admission.Admitted;
 import org.bamboohatch.gateway.forward.Admission.Refused;
@@ -50,6 +51,12 @@
     /** Silence of a plain service in relation to the route's target latency. */
     private static final double PLAIN_SILENCE_FACTOR = 2;
 
+    /** Rank at an engine's queue of requests whose pauses must be short. */
+    private static final String URGENT = "2";
+
+    /** Rank at an engine's queue of other requests. */
+    private static final String USUAL = "5";
+
     /** The settings. */
     private final GatewaySettings settings;
 
@@ -60,7 +67,7 @@
     private final EventLoop loop;
 
     /** The gateway's copy of the configuration. */
-    private final FleetStore store;
+    private final FleetCopy store;
 
     /** Decides whether requests are let in. */
     private final RequestGate gate;
@@ -95,7 +102,7 @@
      * @param store the gateway's copy of the configuration
      * @param book work at targets
      */
-    public Forwarder(GatewaySettings settings, Dialect dialect, EventLoop loop, FleetStore store, LoadBook book) {
+    public Forwarder(GatewaySettings settings, Dialect dialect, EventLoop loop, FleetCopy store, LoadBook book) {
         this.settings = settings;
         this.dialect = dialect;
         this.loop = loop;
@@ -199,8 +206,8 @@
     Optional<Placement> place(Admitted admitted, Demand demand, Set<TargetName> tried, long now) {
         Optional<EngineModel> engine =
                 demand.isGeneration() ? admitted.service().engine() : Optional.empty();
-        PlacementPolicy policy = PlacementPolicy.FEWEST_RUNS;
-        return policy.place(demand, targets.candidates(admitted.service().name(), tried, now), engine);
+        return PlacementPolicy.PREDICTED.place(
+                demand, targets.candidates(admitted.service().name(), tried, now), engine);
     }
 
     /**
@@ -231,7 +238,7 @@
                 .engine()
                 .map(model -> model.readMillis(demand.promptTokens()) / readers)
                 .orElse(0.0);
-        boolean shortPauses = demand.isGeneration();
+        boolean shortPauses = demand.isTight();
         tickets.add(book.add(
                 placement.target(), demand.promptTokens(), demand.memoryTokens(), shortPauses, true, reading, now));
         for (TargetName helper : placement.helpers()) {
@@ -245,16 +252,27 @@
      *
      * @param request the request
      * @param admitted what the admission found
+     * @param demand what the request asks
      * @param placement the targets
      * @param leftMillis time that is left for the answer, in milliseconds
      * @return the fields
      */
-    HttpHeaders headers(InboundRequest request, Admitted admitted, Placement placement, long leftMillis) {
+    HttpHeaders headers(
+            InboundRequest request, Admitted admitted, Demand demand, Placement placement, long leftMillis) {
         HttpHeaders headers =
                 outbound.request(request, leftMillis, placement.target().value());
         admitted.account()
                 .ifPresent(
                         account -> headers.set(dialect.account(), account.name().value()));
+        if (demand.isGeneration()) {
+            headers.set(dialect.priority(), demand.isTight() ? URGENT : USUAL);
+        }
+        if (!placement.helpers().isEmpty()) {
+            String helpers = placement.helpers().stream()
+                    .map(helper -> targets.find(helper).address())
+                    .collect(Collectors.joining(","));
+            headers.set(dialect.helpers(), helpers);
+        }
         return headers;
     }
 
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarding.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarding.java
@@ -159,7 +159,7 @@
         }
         TargetAddress target = forwarder.targets().find(placement.get().target());
         long left = admitted.deadline() - now;
-        HttpHeaders headers = forwarder.headers(request, admitted, placement.get(), left);
+        HttpHeaders headers = forwarder.headers(request, admitted, demand, placement.get(), left);
         cutter.lastId().ifPresent(id -> headers.set(dialect().lastEventId(), id));
         List<LoadBook.Ticket> tickets = forwarder.register(admitted, demand, placement.get(), now);
         Attempt attempt = new Attempt(this, target, headers, tickets, now);
--- /dev/null
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/ForwardingTest.java
@@ -0,0 +1,278 @@
+package org.bamboohatch.gateway.forward;
+
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.bamboohatch.gateway.forward.FakeTarget.answer;
+import static org.bamboohatch.gateway.forward.FakeTarget.chunk;
+import static org.bamboohatch.gateway.forward.FakeTarget.streamHead;
+import static org.bamboohatch.gateway.forward.FakeTarget.write;
+import static org.bamboohatch.gateway.forward.GatewayHarness.request;
+
+/** The path of a request against targets that misbehave. */
+@Timeout(30)
+class ForwardingTest {
+
+    private static boolean serve(FakeTarget.Seen seen, Socket connection) throws java.io.IOException {
+        write(connection, answer(seen.id(), "body of " + seen.id()));
+        return true;
+    }
+
+    private static int runs(FakeTarget... targets) {
+        int runs = 0;
+        for (FakeTarget target : targets) {
+            runs += target.seen.size();
+        }
+        return runs;
+    }
+
+    @Test
+    void aRequestIsPassedOnUnchangedAndItsAnswerComesBack() throws Exception {
+        try (FakeTarget target = new FakeTarget(ForwardingTest::serve);
+                GatewayHarness gateway = new GatewayHarness(target)) {
+            String text = gateway.call(request("POST", "/order/x?y=1", "a1", "Other: kept\r\n", "crates"));
+            assertThat(text)
+                    .startsWith("HTTP/1.1 200")
+                    .contains("Answer-Seal: seal")
+                    .endsWith("body of a1");
+            FakeTarget.Seen seen = target.seen.get(0);
+            assertThat(seen.line()).isEqualTo("POST /order/x?y=1 HTTP/1.1");
+            assertThat(new String(seen.body(), StandardCharsets.UTF_8)).isEqualTo("crates");
+            assertThat(seen.headers())
+                    .containsEntry("client-account", "oaxaca")
+                    .containsEntry("expected-target", "target-0")
+                    .containsEntry("other", "kept")
+                    .containsKey("request-timeout-ms")
+                    .doesNotContainKey("api-key");
+        }
+    }
+
+    @Test
+    void whatACallerSetsInTheGatewaysNameIsNotPassedOn() throws Exception {
+        try (FakeTarget target = new FakeTarget(ForwardingTest::serve);
+                GatewayHarness gateway = new GatewayHarness(target)) {
+            gateway.call(request("GET", "/open/x", "a1", "Client-Account: forged\r\nReading-Helpers: x\r\n", "")
+                    .replace("Api-Key: key-1\r\n", ""));
+            assertThat(target.seen.get(0).headers()).doesNotContainKeys("client-account", "reading-helpers");
+        }
+    }
+
+    @Test
+    void anOrderIsNeverSentAgainAfterItMayHaveRun() throws Exception {
+        FakeTarget.Script dropping = (seen, connection) -> false;
+        try (FakeTarget first = new FakeTarget(dropping);
+                FakeTarget second = new FakeTarget(dropping);
+                GatewayHarness gateway = new GatewayHarness(first, second)) {
+            String text = gateway.call(request("POST", "/order/x", "a1", "", "crates"));
+            assertThat(text).startsWith("HTTP/1.1 502").contains("\"outcome\":\"unknown\"");
+            assertThat(runs(first, second)).isEqualTo(1);
+        }
+    }
+
+    @Test
+    void aRepeatableRequestGoesToAnotherTarget() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        FakeTarget.Script firstDrops = (seen, connection) -> calls.getAndIncrement() > 0 && serve(seen, connection);
+        try (FakeTarget first = new FakeTarget(firstDrops);
+                FakeTarget second = new FakeTarget(firstDrops);
+                GatewayHarness gateway = new GatewayHarness(first, second)) {
+            assertThat(gateway.call(request("GET", "/read/x", "a1", "", ""))).endsWith("body of a1");
+            assertThat(runs(first, second)).isEqualTo(2);
+        }
+    }
+
+    @Test
+    void aRequestThatNoTargetRanIsRefusedWithATimeToComeBack() throws Exception {
+        FakeTarget.Script full = (seen, connection) -> {
+            write(
+                    connection,
+                    "HTTP/1.1 503 Full\r\nRequest-Id: " + seen.id()
+                            + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            return true;
+        };
+        try (FakeTarget first = new FakeTarget(full);
+                FakeTarget second = new FakeTarget(full);
+                GatewayHarness gateway = new GatewayHarness(first, second)) {
+            String text = gateway.call(request("POST", "/order/x", "a1", "", "crates"));
+            assertThat(text)
+                    .startsWith("HTTP/1.1 503")
+                    .containsIgnoringCase("retry-after")
+                    .contains("not-run");
+        }
+    }
+
+    @Test
+    void aTargetsOwnFailureIsPassedOnWithItsSeal() throws Exception {
+        FakeTarget.Script failing = (seen, connection) -> {
+            write(connection, answer(seen.id(), "broken").replace("200 OK", "500 Broken"));
+            return true;
+        };
+        try (FakeTarget target = new FakeTarget(failing);
+                GatewayHarness gateway = new GatewayHarness(target)) {
+            String text = gateway.call(request("POST", "/order/x", "a1", "", "crates"));
+            assertThat(text)
+                    .startsWith("HTTP/1.1 500")
+                    .contains("Answer-Seal: seal")
+                    .endsWith("broken");
+        }
+    }
+
+    @Test
+    void aLateSecondAnswerBelongsToNobody() throws Exception {
+        FakeTarget.Script doubling = (seen, connection) -> {
+            write(connection, answer(seen.id(), "body of " + seen.id()) + answer(seen.id(), "late of " + seen.id()));
+            return true;
+        };
+        try (FakeTarget target = new FakeTarget(doubling);
+                GatewayHarness gateway = new GatewayHarness(target)) {
+            for (int number = 0; number < 20; number++) {
+                assertThat(gateway.call(request("GET", "/read/x", "a" + number, "", "")))
+                        .endsWith("body of a" + number);
+            }
+        }
+    }
+
+    @Test
+    void anAnswerThatIsCutOrUnsealedIsNoSuccess() throws Exception {
+        for (String wrong : new String[] {
+            "HTTP/1.1 200 OK\r\nRequest-Id: a1\r\nAnswer-Seal: s\r\nContent-Length: 50\r\n\r\npart",
+            "HTTP/1.1 200 OK\r\nRequest-Id: a1\r\nContent-Length: 4\r\n\r\nfull",
+            "no answer at all\r\n\r\n"
+        }) {
+            FakeTarget.Script script = (seen, connection) -> {
+                write(connection, wrong);
+                return false;
+            };
+            try (FakeTarget target = new FakeTarget(script);
+                    GatewayHarness gateway = new GatewayHarness(target)) {
+                assertThat(gateway.call(request("POST", "/order/x", "a1", "", "crates")))
+                        .as(wrong)
+                        .startsWith("HTTP/1.1 502");
+            }
+        }
+    }
+
+    @Test
+    void anAnswerWithoutALengthEndsWithItsConnection() throws Exception {
+        FakeTarget.Script unframed = (seen, connection) -> {
+            write(connection, "HTTP/1.1 200 OK\r\nRequest-Id: " + seen.id() + "\r\nAnswer-Seal: s\r\n\r\nwhole body");
+            return false;
+        };
+        try (FakeTarget target = new FakeTarget(unframed);
+                GatewayHarness gateway = new GatewayHarness(target)) {
+            assertThat(gateway.call(request("POST", "/order/x", "a1", "", "crates")))
+                    .startsWith("HTTP/1.1 200")
+                    .endsWith("whole body");
+        }
+    }
+
+    @Test
+    void aStreamThatBreaksGoesOnAtAnotherTargetWithinTheSameAnswer() throws Exception {
+        FakeTarget.Script script = (seen, connection) -> {
+            String last = seen.headers().get("last-event-id");
+            if (last == null) {
+                write(connection, streamHead(seen.id(), "first") + chunk("id: 1\ndata: a\n\n") + chunk("id: 2\ndata:"));
+                return false;
+            }
+            write(connection, streamHead(seen.id(), "second") + chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+            return true;
+        };
+        try (FakeTarget first = new FakeTarget(script);
+                FakeTarget second = new FakeTarget(script);
+                GatewayHarness gateway = new GatewayHarness(first, second)) {
+            String text = gateway.call(request("POST", "/stream/x", "a1", "", "prompt"));
+            assertThat(text).contains("Answer-Seal: first").doesNotContain("second");
+            assertThat(text.replaceAll("\r\n[0-9a-f]+\r\n|\r\n", "")).contains("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+            assertThat(text).endsWith("0\r\n\r\n");
+            assertThat(runs(first, second)).isEqualTo(2);
+        }
+    }
+
+    @Test
+    void aStreamThatCannotGoOnLooksBroken() throws Exception {
+        FakeTarget.Script script = (seen, connection) -> {
+            write(connection, streamHead(seen.id(), "s") + chunk("id: 1\ndata: a\n\n"));
+            return false;
+        };
+        try (FakeTarget target = new FakeTarget(script);
+                GatewayHarness gateway = new GatewayHarness(target)) {
+            String text = gateway.call(request("POST", "/stream/x", "a1", "", "prompt"));
+            assertThat(text).contains("id: 1").doesNotContain("\r\n0\r\n\r\n");
+        }
+    }
+
+    @Test
+    void aCallerThatGoesCancelsItsWork() throws Exception {
+        FakeTarget.Script waiting = (seen, connection) -> {
+            connection.getInputStream().read();
+            return false;
+        };
+        try (FakeTarget target = new FakeTarget(waiting);
+                GatewayHarness gateway = new GatewayHarness(target)) {
+            try (Socket caller = gateway.connect()) {
+                caller.getOutputStream()
+                        .write(request("POST", "/stream/x", "a1", "", "prompt").getBytes(StandardCharsets.UTF_8));
+                while (target.seen.isEmpty()) {
+                    Thread.sleep(5);
+                }
+            }
+            FakeTarget.Seen seen = target.seen.get(0);
+            assertThat(seen.id()).isEqualTo("a1");
+            long limit = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+            while (gateway.forwarder.open() > 0 && System.nanoTime() < limit) {
+                Thread.sleep(5);
+            }
+            assertThat(gateway.forwarder.open()).isZero();
+        }
+    }
+
+    @Test
+    void aRequestIsAnsweredWhenItsTimeHasRunOut() throws Exception {
+        FakeTarget.Script silent = (seen, connection) -> {
+            Thread.sleep(5_000);
+            return false;
+        };
+        try (FakeTarget target = new FakeTarget(silent);
+                GatewayHarness gateway = new GatewayHarness(target)) {
+            String text = gateway.call(request("POST", "/order/x", "a1", "Request-Timeout-Ms: 300\r\n", "crates"));
+            assertThat(text).startsWith("HTTP/1.1 504").contains("unknown");
+        }
+    }
+
+    @Test
+    void connectionsToATargetAreUsedAgain() throws Exception {
+        AtomicInteger connections = new AtomicInteger();
+        FakeTarget.Script counting = (seen, connection) -> {
+            connections.set(Math.max(connections.get(), connection.getPort() == 0 ? 0 : connections.get()));
+            write(connection, answer(seen.id(), "from " + connection.getPort()));
+            return true;
+        };
+        try (FakeTarget target = new FakeTarget(counting);
+                GatewayHarness gateway = new GatewayHarness(target);
+                Socket caller = gateway.connect()) {
+            String keeping = request("GET", "/read/x", "a1", "", "").replace("Connection: close\r\n", "");
+            String first = exchange(caller, keeping);
+            String second = exchange(caller, keeping.replace("a1", "a2"));
+            assertThat(first).isEqualTo(second).startsWith("from ");
+        }
+    }
+
+    private static String exchange(Socket caller, String request) throws Exception {
+        caller.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+        InputStream stream = caller.getInputStream();
+        int length = 0;
+        for (String line = FakeTarget.readLine(stream); !line.isEmpty(); line = FakeTarget.readLine(stream)) {
+            if (line.toLowerCase(java.util.Locale.ROOT).startsWith("content-length:")) {
+                length = Integer.parseInt(line.substring(line.indexOf(':') + 1).strip());
+            }
+        }
+        return new String(stream.readNBytes(length), StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
@@ -0,0 +1,164 @@
+package org.bamboohatch.gateway.forward;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.bamboohatch.document.fleet.CallerLimits;
+import org.bamboohatch.document.fleet.FleetAccount;
+import org.bamboohatch.document.fleet.FleetConfiguration;
+import org.bamboohatch.document.fleet.FleetService;
+import org.bamboohatch.document.fleet.Route;
+import org.bamboohatch.document.fleet.RouteKind;
+import org.bamboohatch.document.fleet.WeightedService;
+import org.bamboohatch.gateway.Dialect;
+import org.bamboohatch.gateway.GatewayClock;
+import org.bamboohatch.gateway.GatewaySettings;
+import org.bamboohatch.gateway.configuration.FleetCopy;
+import org.bamboohatch.gateway.configuration.FleetView;
+import org.bamboohatch.gateway.configuration.RouteTable;
+import org.bamboohatch.gateway.http.CallerServer;
+import org.bamboohatch.gateway.load.LoadBook;
+import org.bamboohatch.kernel.id.AccountName;
+import org.bamboohatch.kernel.id.HostName;
+import org.bamboohatch.kernel.id.ServiceName;
+import org.bamboohatch.kernel.id.TargetName;
+import org.bamboohatch.kernel.id.ZoneName;
+import org.bamboohatch.protocol.message.TargetAnnouncement;
+
+/** A gateway's path of requests in one process, with a configuration that the test holds. */
+final class GatewayHarness implements AutoCloseable, FleetCopy {
+
+    static final CallerLimits LIMITS = new CallerLimits(4_096, 20_000, 400, 3_000);
+
+    private static final ServiceName SERVICE = new ServiceName("portal");
+
+    final Forwarder forwarder;
+
+    final CallerServer callers;
+
+    volatile long ageMillis;
+
+    private final EventLoop loop;
+
+    private final int port;
+
+    private volatile FleetView view = FleetView.EMPTY;
+
+    GatewayHarness(FakeTarget... targets) throws Exception {
+        try (ServerSocket free = new ServerSocket(0)) {
+            port = free.getLocalPort();
+        }
+        loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        GatewaySettings settings = new GatewaySettings(
+                new HostName("gateway-1"),
+                new ZoneName("zone-a"),
+                "127.0.0.1:" + port,
+                "",
+                "127.0.0.1:1",
+                List.of("127.0.0.1:2"),
+                4_000,
+                0.2,
+                50,
+                10_000,
+                1_000,
+                1_500);
+        forwarder = new Forwarder(settings, Dialect.DEFAULT, loop, this, new LoadBook());
+        callers = new CallerServer(new InetSocketAddress("127.0.0.1", port), loop, forwarder, () -> LIMITS);
+        callers.start();
+        if (targets.length > 0) {
+            apply(targets);
+        }
+    }
+
+    void apply(FakeTarget... targets) throws Exception {
+        Map<TargetName, TargetAnnouncement> announced = new HashMap<>();
+        for (int number = 0; number < targets.length; number++) {
+            TargetName name = new TargetName("target-" + number);
+            announced.put(
+                    name,
+                    new TargetAnnouncement(
+                            name,
+                            SERVICE,
+                            new HostName("host"),
+                            new ZoneName("zone-a"),
+                            targets[number].address(),
+                            1,
+                            List.of(),
+                            0,
+                            4,
+                            false,
+                            1));
+        }
+        view = new FleetView(Optional.of(new RouteTable(configuration())), 1, 1, announced, List.of());
+        loop.submit(() -> forwarder.apply(view)).sync();
+    }
+
+    private static Route route(String prefix, RouteKind kind, long timeout, boolean open) {
+        List<WeightedService> whole = List.of(new WeightedService(SERVICE, 1));
+        return new Route("r" + prefix, "beads.example", prefix, kind, timeout, 300, 1, whole, 2, open, true, 250);
+    }
+
+    private static FleetConfiguration configuration() {
+        return new FleetConfiguration(
+                3,
+                List.of(
+                        route("/read/", RouteKind.IDEMPOTENT, 2_000, false),
+                        route("/order/", RouteKind.NON_IDEMPOTENT, 2_000, false),
+                        route("/stream/", RouteKind.STREAMING, 4_000, false),
+                        route("/open/", RouteKind.IDEMPOTENT, 2_000, true)),
+                List.of(new FleetService(SERVICE, "/healthz", 10, Optional.empty())),
+                LIMITS,
+                List.of(new FleetAccount(new AccountName("oaxaca"), List.of("key-1"), 1)));
+    }
+
+    @Override
+    public FleetView view() {
+        return view;
+    }
+
+    @Override
+    public long age(GatewayClock now) {
+        return ageMillis;
+    }
+
+    Socket connect() throws IOException {
+        Socket socket = new Socket("127.0.0.1", port);
+        socket.setSoTimeout(8_000);
+        return socket;
+    }
+
+    /** Sends one request on a connection of its own and reads the answer until the connection ends. */
+    String call(String request) throws IOException {
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+            return readAll(socket.getInputStream());
+        }
+    }
+
+    static String readAll(InputStream stream) throws IOException {
+        return new String(stream.readAllBytes(), StandardCharsets.UTF_8);
+    }
+
+    static String request(String method, String path, String id, String more, String body) {
+        String length = body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n";
+        return method + " " + path + " HTTP/1.1\r\nHost: beads.example\r\nRequest-Id: " + id
+                + "\r\nApi-Key: key-1\r\nConnection: close\r\n" + more + length + "\r\n" + body;
+    }
+
+    @Override
+    public void close() {
+        callers.stop();
+        loop.parent().shutdownGracefully();
+    }
+}
--- a/routing/src/main/java/org/bamboohatch/routing/fleet/Demand.java
+++ b/routing/src/main/java/org/bamboohatch/routing/fleet/Demand.java
@@ -10,6 +10,9 @@
  */
 public record Demand(long promptTokens, long answerTokens, double targetLatencyMillis, double maximumGapMillis) {
 
+    /** Pause below which a stream is disturbed by an engine that reads a long prompt, in milliseconds. */
+    private static final double TIGHT_GAP_MILLIS = 400;
+
     /**
      * Tells whether the request is a generation of a model engine.
      *
@@ -19,6 +22,15 @@
         return promptTokens > 0;
     }
 
+    /**
+     * Tells whether pauses of the answer must be so short that an engine which reads a long prompt disturbs it.
+     *
+     * @return whether they must
+     */
+    public boolean isTight() {
+        return isGeneration() && maximumGapMillis > 0 && maximumGapMillis < TIGHT_GAP_MILLIS;
+    }
+
     /**
      * Returns the memory that the request needs at its end.
      *
--- /dev/null
+++ b/routing/src/main/java/org/bamboohatch/routing/fleet/EnginePlacement.java
@@ -0,0 +1,225 @@
+package org.bamboohatch.routing.fleet;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+import org.bamboohatch.document.fleet.EngineModel;
+import org.bamboohatch.kernel.id.TargetName;
+
+/**
+ * Places a generation by the cost model of its engines. An engine that reads a long prompt makes long passes, and every
+ * stream that it writes pauses for as long. So requests whose pauses must be short share some engines, which fill up
+ * one after the other, and long prompts are read in parts by several of the others.
+ */
+final class EnginePlacement {
+
+    /** Part of an engine's slots up to which it is filled before the next one is used. */
+    private static final double FILL_SHARE = 0.6;
+
+    /** Advantage of an engine that has tight streams already, in milliseconds of a later first event. */
+    private static final double FILL_BONUS_MILLIS = 60;
+
+    /** Disadvantage of an engine all of whose slots are taken, in milliseconds. */
+    private static final double FULL_PENALTY_MILLIS = 1_500;
+
+    /** Harm to each stream that pauses for too long, in milliseconds of a later first event. */
+    private static final double DISTURBED_MILLIS = 250;
+
+    /** Engines that read one prompt at most, the answering one included. */
+    private static final int MAX_READERS = 16;
+
+    /** Time up to which one engine reads a part, in milliseconds: streams with longer pauses are not disturbed then. */
+    private static final double PART_MILLIS = 300;
+
+    /** Cost of each further reader, in milliseconds: each one may fail and hold up the others. */
+    private static final double READER_MILLIS = 8;
+
+    /** What the work costs. */
+    private final EngineModel engine;
+
+    /** What the request asks. */
+    private final Demand demand;
+
+    /** Time to read the whole prompt, in milliseconds. */
+    private final double readMillis;
+
+    /**
+     * Creates a placement.
+     *
+     * @param engine what the work costs
+     * @param demand what the request asks
+     */
+    EnginePlacement(EngineModel engine, Demand demand) {
+        this.engine = engine;
+        this.demand = demand;
+        this.readMillis = engine.readMillis(demand.promptTokens());
+    }
+
+    /**
+     * An engine as a reader of a part.
+     *
+     * @param candidate the engine
+     * @param waitMillis time until it begins to read, in milliseconds
+     * @param harmMillis harm to the streams that it writes if it reads a long part, in milliseconds
+     */
+    private record Reader(Candidate candidate, double waitMillis, double harmMillis) {
+
+        /**
+         * Returns what speaks against the engine.
+         *
+         * @return the cost in milliseconds
+         */
+        double cost() {
+            return waitMillis + harmMillis;
+        }
+    }
+
+    /**
+     * Chooses the engines.
+     *
+     * @param candidates the engines that may be chosen
+     * @return the choice, empty if no engine has memory for the request
+     */
+    Optional<Placement> place(List<Candidate> candidates) {
+        List<Candidate> fitting = candidates.stream().filter(this::hasMemory).toList();
+        if (fitting.isEmpty()) {
+            return Optional.empty();
+        }
+        return demand.isTight() && readMillis < PART_MILLIS ? alone(fitting) : together(fitting, candidates);
+    }
+
+    /**
+     * Tells whether an engine has memory for the request.
+     *
+     * @param candidate the engine
+     * @return whether it has, as far as is known
+     */
+    private boolean hasMemory(Candidate candidate) {
+        return candidate.load().heldTokens() + demand.memoryTokens() <= engine.memoryTokens();
+    }
+
+    /**
+     * Places a short prompt at one engine.
+     *
+     * @param candidates the engines
+     * @return the choice
+     */
+    private Optional<Placement> alone(List<Candidate> candidates) {
+        return candidates.stream()
+                .min(Comparator.comparingDouble(this::aloneCost).thenComparing(Candidate::name))
+                .map(candidate -> new Placement(candidate.name(), List.of(), firstMillis(candidate)));
+    }
+
+    /**
+     * Predicts the time until the first event at one engine.
+     *
+     * @param candidate the engine
+     * @return the time in milliseconds
+     */
+    private double firstMillis(Candidate candidate) {
+        Workload load = candidate.load();
+        double pass = passMillis(load);
+        return candidate.pace() * (pass / 2 + load.readMillis() + readMillis + pass);
+    }
+
+    /**
+     * Predicts the time of a pass at an engine.
+     *
+     * @param load its work
+     * @return the time in milliseconds
+     */
+    private double passMillis(Workload load) {
+        return engine.passMillis(load.runs(), load.contextTokens());
+    }
+
+    /**
+     * Returns what speaks against one engine for a short prompt.
+     *
+     * @param candidate the engine
+     * @return the cost in milliseconds
+     */
+    private double aloneCost(Candidate candidate) {
+        Workload load = candidate.load();
+        double cost = firstMillis(candidate);
+        double fill = candidate.slots() * FILL_SHARE;
+        if (load.runs() >= candidate.slots()) {
+            cost += FULL_PENALTY_MILLIS * (1 + load.runs() - candidate.slots());
+        } else if (load.shortWriters() > 0 && load.runs() < fill) {
+            cost -= FILL_BONUS_MILLIS;
+        }
+        int longWriters = load.runs() - load.shortWriters();
+        return cost + (longWriters > 0 ? DISTURBED_MILLIS / 2 : 0);
+    }
+
+    /**
+     * Places a long prompt at one or several engines.
+     *
+     * @param fitting engines that have memory for the request
+     * @param candidates all engines
+     * @return the choice with the least cost
+     */
+    private Optional<Placement> together(List<Candidate> fitting, List<Candidate> candidates) {
+        Candidate first = fitting.stream()
+                .min(Comparator.comparingDouble(this::writerCost).thenComparing(Candidate::name))
+                .orElseThrow();
+        List<Reader> others = new ArrayList<>();
+        for (Candidate candidate : candidates) {
+            if (!candidate.name().equals(first.name())) {
+                others.add(reader(candidate));
+            }
+        }
+        others.sort(Comparator.comparingDouble(Reader::cost)
+                .thenComparing(reader -> reader.candidate().name()));
+        Reader own = reader(first);
+        double bestCost = Double.MAX_VALUE;
+        double bestFirst = 0;
+        int best = 0;
+        double latest = own.waitMillis();
+        double harm = own.harmMillis();
+        for (int helpers = 0; helpers <= Math.min(MAX_READERS - 1, others.size()); helpers++) {
+            if (helpers > 0) {
+                latest = Math.max(latest, others.get(helpers - 1).waitMillis());
+                harm += others.get(helpers - 1).harmMillis();
+            }
+            double part = readMillis / (helpers + 1);
+            double firstEvent = latest + part + passMillis(first.load());
+            double cost = firstEvent + harm + helpers * READER_MILLIS + Math.max(0, part - PART_MILLIS);
+            if (cost < bestCost) {
+                bestCost = cost;
+                bestFirst = firstEvent;
+                best = helpers;
+            }
+        }
+        List<TargetName> helpers = others.subList(0, best).stream()
+                .map(reader -> reader.candidate().name())
+                .toList();
+        return Optional.of(new Placement(first.name(), helpers, bestFirst));
+    }
+
+    /**
+     * Looks at an engine as a reader.
+     *
+     * @param candidate the engine
+     * @return the reader
+     */
+    private Reader reader(Candidate candidate) {
+        Workload load = candidate.load();
+        double wait = candidate.pace() * (load.readMillis() + passMillis(load) / 2);
+        return new Reader(candidate, wait, load.shortWriters() * DISTURBED_MILLIS);
+    }
+
+    /**
+     * Returns what speaks against an engine that is to write the answer of a long prompt.
+     *
+     * @param candidate the engine
+     * @return the cost in milliseconds
+     */
+    private double writerCost(Candidate candidate) {
+        Workload load = candidate.load();
+        double memory = load.heldTokens() / engine.memoryTokens();
+        double full = load.runs() >= candidate.slots() ? FULL_PENALTY_MILLIS : 0;
+        return reader(candidate).cost() + memory * DISTURBED_MILLIS + full;
+    }
+}
--- a/routing/src/main/java/org/bamboohatch/routing/fleet/PlacementPolicy.java
+++ b/routing/src/main/java/org/bamboohatch/routing/fleet/PlacementPolicy.java
@@ -18,6 +18,16 @@
                             .thenComparing(Candidate::name))
                     .map(candidate -> new Placement(candidate.name(), List.of(), 0));
         }
+    },
+    /** The targets at which the first event is predicted to come soonest, with as little harm as possible to others. */
+    PREDICTED {
+        @Override
+        public Optional<Placement> place(Demand demand, List<Candidate> candidates, Optional<EngineModel> engine) {
+            if (engine.isEmpty() || !demand.isGeneration()) {
+                return FEWEST_RUNS.place(demand, candidates, engine);
+            }
+            return new EnginePlacement(engine.get(), demand).place(candidates);
+        }
     };
 
     /**
--- /dev/null
+++ b/routing/src/test/java/org/bamboohatch/routing/fleet/EnginePlacementTest.java
@@ -0,0 +1,108 @@
+package org.bamboohatch.routing.fleet;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.bamboohatch.document.fleet.EngineModel;
+import org.bamboohatch.kernel.id.TargetName;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class EnginePlacementTest {
+
+    private static final EngineModel ENGINE =
+            new EngineModel(11, 315_000, 51, 0.85, 0.006, 0.00285, 177_000, 0.184, 2_048, 200, 0.05, 11_000, 1_600);
+
+    private static final Demand SHORT = new Demand(5_000, 1_600, 300, 250);
+
+    private static final Demand REVIEW = new Demand(154_000, 800, 3_000, 1_000);
+
+    private static Candidate engine(int number, Workload load) {
+        return new Candidate(new TargetName("engine-" + (char) ('a' + number)), true, 11, load, 1);
+    }
+
+    private static List<Candidate> idle(int count) {
+        List<Candidate> engines = new ArrayList<>();
+        for (int number = 0; number < count; number++) {
+            engines.add(engine(number, Workload.NONE));
+        }
+        return engines;
+    }
+
+    private static Placement place(Demand demand, List<Candidate> engines) {
+        return PlacementPolicy.PREDICTED
+                .place(demand, engines, Optional.of(ENGINE))
+                .orElseThrow();
+    }
+
+    @Test
+    void aReviewIsReadByAsManyEnginesAsItsTimeAsksFor() {
+        Placement placement = place(REVIEW, idle(23));
+        assertThat(ENGINE.readMillis(154_000)).isGreaterThan(3_000);
+        assertThat(placement.helpers()).hasSizeBetween(4, 15).doesNotContain(placement.target());
+        assertThat(placement.firstMillis()).isLessThan(1_000);
+    }
+
+    @Test
+    void shortRequestsShareEnginesAndLeaveOthersToLongPrompts() {
+        Map<TargetName, Integer> runs = new HashMap<>();
+        for (int request = 0; request < 40; request++) {
+            List<Candidate> engines = new ArrayList<>();
+            for (Candidate engine : idle(23)) {
+                int present = runs.getOrDefault(engine.name(), 0);
+                Workload load = new Workload(present, present, present, present * 5_000, 0, present * 6_600);
+                engines.add(new Candidate(engine.name(), true, 11, load, 1));
+            }
+            runs.merge(place(SHORT, engines).target(), 1, Integer::sum);
+        }
+        assertThat(runs).hasSizeLessThan(12);
+        assertThat(runs.values()).allMatch(count -> count <= 11);
+    }
+
+    @Test
+    void aShortRequestKeepsAwayFromAnEngineThatReadsALongPrompt() {
+        List<Candidate> engines = new ArrayList<>(idle(2));
+        engines.set(0, engine(0, new Workload(1, 0, 0, 0, 2_000, 154_000)));
+        assertThat(place(SHORT, engines).target()).isEqualTo(new TargetName("engine-b"));
+    }
+
+    @Test
+    void aReviewKeepsAwayFromEnginesThatWriteShortStreams() {
+        List<Candidate> engines = new ArrayList<>(idle(6));
+        engines.set(0, engine(0, new Workload(6, 6, 6, 30_000, 0, 40_000)));
+        engines.set(1, engine(1, new Workload(6, 6, 6, 30_000, 0, 40_000)));
+        Placement placement = place(REVIEW, engines);
+        assertThat(placement.target().value()).isNotIn("engine-a", "engine-b");
+        assertThat(placement.helpers()).doesNotContain(new TargetName("engine-a"), new TargetName("engine-b"));
+    }
+
+    @Test
+    void anEngineWithoutMemoryForTheRequestIsNotChosen() {
+        List<Candidate> engines = new ArrayList<>(idle(2));
+        engines.set(0, engine(0, new Workload(2, 2, 0, 200_000, 0, 200_000)));
+        assertThat(place(REVIEW, engines).target()).isEqualTo(new TargetName("engine-b"));
+    }
+
+    @Test
+    void aPromptOverEveryMemoryHasNoPlace() {
+        Demand huge = new Demand(700_000, 800, 3_000, 1_000);
+        assertThat(PlacementPolicy.PREDICTED.place(huge, idle(23), Optional.of(ENGINE)))
+                .isEmpty();
+    }
+
+    @Test
+    void aPlainServiceIsChosenByItsFewestRuns() {
+        List<Candidate> servers =
+                List.of(engine(0, new Workload(3, 0, 0, 0, 0, 0)), engine(1, new Workload(1, 0, 0, 0, 0, 0)));
+        Demand call = new Demand(0, 0, 120, 0);
+        assertThat(PlacementPolicy.PREDICTED
+                        .place(call, servers, Optional.empty())
+                        .orElseThrow()
+                        .target())
+                .isEqualTo(new TargetName("engine-b"));
+    }
+}
