SIGHUP no longer ends a process; calm passes for short streams; seeds are read again

Change: SIGHUP is handled; the cost of a short request counts the pass that it would make; reviews are planned for half of their target latency; seeds are read again from the settings while control does not answer; the log tells pauses.

--- a/gateway/src/main/java/org/bamboohatch/gateway/GatewayComponent.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/GatewayComponent.java
@@ -2,6 +2,9 @@
 
 import javax.inject.Singleton;
 
+import java.util.List;
+import java.util.function.Supplier;
+
 import dagger.BindsInstance;
 import dagger.Component;
 
@@ -26,8 +29,12 @@
          *
          * @param settings the settings
          * @param dialect names of the header fields
+         * @param seeds reads the addresses of control processes that the settings name by now
          * @return the parts
          */
-        GatewayComponent create(@BindsInstance GatewaySettings settings, @BindsInstance Dialect dialect);
+        GatewayComponent create(
+                @BindsInstance GatewaySettings settings,
+                @BindsInstance Dialect dialect,
+                @BindsInstance Supplier<List<String>> seeds);
     }
 }
--- a/gateway/src/main/java/org/bamboohatch/gateway/GatewayMain.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/GatewayMain.java
@@ -1,5 +1,8 @@
 package org.bamboohatch.gateway;
 
+import java.util.List;
+import java.util.function.Supplier;
+
 import org.bamboohatch.kernel.service.Program;
 import org.bamboohatch.kernel.settings.SettingsCommandLine;
 
@@ -18,7 +21,8 @@
      * @param arguments the command line
      */
     public static void main(String[] arguments) {
-        run(SettingsCommandLine.read(PROGRAM, arguments, GatewaySettings.class), Dialect.DEFAULT);
+        GatewaySettings settings = SettingsCommandLine.read(PROGRAM, arguments, GatewaySettings.class);
+        run(settings, Dialect.DEFAULT, settings::control);
     }
 
     /**
@@ -26,10 +30,13 @@
      *
      * @param settings the settings
      * @param dialect names of the header fields
+     * @param seeds reads the addresses of control processes that the settings name by now
      */
-    public static void run(GatewaySettings settings, Dialect dialect) {
+    public static void run(GatewaySettings settings, Dialect dialect, Supplier<List<String>> seeds) {
         Program.run(
                 PROGRAM,
-                DaggerGatewayComponent.factory().create(settings, dialect).program());
+                DaggerGatewayComponent.factory()
+                        .create(settings, dialect, seeds)
+                        .program());
     }
 }
--- a/gateway/src/main/java/org/bamboohatch/gateway/configuration/FleetStore.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/configuration/FleetStore.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.zip.InflaterInputStream;
 
 import org.apache.logging.log4j.LogManager;
@@ -51,6 +52,9 @@
     /** The network threads. */
     private final Network network;
 
+    /** Reads the addresses of control processes that the settings name by now. */
+    private final Supplier<List<String>> seeds;
+
     /** Reads configurations. */
     private final Plugins<FleetFormat> formats = Plugins.load(FleetFormat.class);
 
@@ -75,10 +79,12 @@
      * @param settings the settings
      * @param control the control processes
      * @param network the network threads
+     * @param seeds reads the addresses of control processes that the settings name by now
      */
     @Inject
-    public FleetStore(GatewaySettings settings, ControlClient control, Network network) {
+    public FleetStore(GatewaySettings settings, ControlClient control, Network network, Supplier<List<String>> seeds) {
         this.settings = settings;
+        this.seeds = seeds;
         this.control = control;
         this.network = network;
     }
@@ -132,6 +138,8 @@
             noteContact(answered, reply);
             if (answered) {
                 take((Changes) reply, sentAt);
+            } else {
+                control.alsoTry(seeds.get());
             }
             network.after(Duration.ofMillis(answered ? 0 : PAUSE_MS), this::poll);
         });
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Attempt.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Attempt.java
@@ -249,7 +249,7 @@
      * @param part a part of the stream
      */
     private void passEvents(ByteBuf part) {
-        byte[] events = forwarding.cutter().take(part);
+        byte[] events = forwarding.cutter().take(part, heardAt);
         if (events.length == 0) {
             return;
         }
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/EventCutter.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/EventCutter.java
@@ -30,6 +30,12 @@
     /** Whole events so far. */
     private long events;
 
+    /** Time of the last whole event, in milliseconds. */
+    private long lastAt;
+
+    /** Longest pause between two whole events, in milliseconds. */
+    private long longestPause;
+
     /** Creates a cutter at the beginning of a stream. */
     EventCutter() {}
 
@@ -37,9 +43,10 @@
      * Takes a part of the stream.
      *
      * @param part the part
+     * @param now the present time, in milliseconds
      * @return the bytes of the events that are whole now, empty if there is none
      */
-    byte[] take(ByteBuf part) {
+    byte[] take(ByteBuf part, long now) {
         ByteArrayOutputStream whole = new ByteArrayOutputStream();
         while (part.isReadable()) {
             byte next = part.readByte();
@@ -55,15 +62,23 @@
             } else if (text.isEmpty()) {
                 whole.writeBytes(partial.toByteArray());
                 partial.reset();
-                endEvent();
+                endEvent(now);
             }
         }
         return whole.toByteArray();
     }
 
-    /** Takes note of a whole event. */
-    private void endEvent() {
+    /**
+     * Takes note of a whole event.
+     *
+     * @param now the present time, in milliseconds
+     */
+    private void endEvent(long now) {
         if (pendingId != null) {
+            if (events > 0) {
+                longestPause = Math.max(longestPause, now - lastAt);
+            }
+            lastAt = now;
             lastId = pendingId;
             pendingId = null;
             events++;
@@ -95,6 +110,15 @@
         return Optional.ofNullable(lastId);
     }
 
+    /**
+     * Returns the longest pause between two whole events.
+     *
+     * @return the pause in milliseconds
+     */
+    long longestPause() {
+        return longestPause;
+    }
+
     /**
      * Counts the whole events.
      *
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarding.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarding.java
@@ -71,6 +71,9 @@
     /** The attempt under way, or null. */
     private Attempt current;
 
+    /** Time until the answer began, in milliseconds, zero before. */
+    private long firstAfter;
+
     /** Whether the head of the answer was sent to the caller. */
     private boolean answering;
 
@@ -221,7 +224,7 @@
      * @return whether it says so
      */
     boolean isNotExecuted(HttpResponse head) {
-        return head.status().code() == ErrorStatus.MISDIRECTED
+        return head.status().code() == TargetStatus.MISDIRECTED
                 || head.headers().contains(dialect().notExecuted());
     }
 
@@ -234,7 +237,7 @@
     void onNotExecuted(Attempt attempt, HttpResponse head) {
         long now = GatewayClock.now();
         runs--;
-        boolean misdirected = head.status().code() == ErrorStatus.MISDIRECTED;
+        boolean misdirected = head.status().code() == TargetStatus.MISDIRECTED;
         if (misdirected) {
             forwarder.targets().failed(attempt.target(), now);
         }
@@ -261,7 +264,7 @@
      * @return whether the request may be sent again
      */
     boolean wantsAnother(Attempt attempt, HttpResponse head) {
-        boolean failed = head.status().code() >= ErrorStatus.SERVER_ERROR;
+        boolean failed = head.status().code() >= TargetStatus.SERVER_ERROR;
         return failed && !answering && admitted.route().mayRepeat() && mayTakeBudget(GatewayClock.now());
     }
 
@@ -371,6 +374,7 @@
             return;
         }
         answering = true;
+        firstAfter = GatewayClock.now() - request.arrivedAt();
         responder.head(head.status(), forwarder.answerHeaders(head.headers()), length);
         forwarder.onFirst(this, attempt, GatewayClock.now());
     }
@@ -386,7 +390,7 @@
             return;
         }
         responder.end();
-        if (head.status().code() < ErrorStatus.SERVER_ERROR) {
+        if (head.status().code() < TargetStatus.SERVER_ERROR) {
             forwarder.targets().succeeded(attempt.target());
         }
         finish("answered", Weight.ROUTINE, String.valueOf(head.status().code()));
@@ -462,6 +466,9 @@
                 .with("detail", detail)
                 .with("sends", sends)
                 .with("events", cutter.events())
+                .with("firstMs", firstAfter)
+                .with("longestPauseMs", cutter.longestPause())
+                .with("target", current == null ? "" : current.target().target())
                 .with("tookMs", GatewayClock.now() - request.arrivedAt())
                 .write();
         forwarder.onEnd(this);
@@ -484,17 +491,4 @@
                                 .orElse(""))
                 .with("promptTokens", demand.promptTokens());
     }
-
-    /** Statuses of HTTP that decide. */
-    private static final class ErrorStatus {
-
-        /** The target is not the expected one. */
-        static final int MISDIRECTED = 421;
-
-        /** The first status of a target's own failure. */
-        static final int SERVER_ERROR = 500;
-
-        /** Not instantiated. */
-        private ErrorStatus() {}
-    }
 }
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/EventCutterTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/EventCutterTest.java
@@ -29,9 +29,9 @@
         byte[] all = bytes(STREAM);
         int from = Math.min(first, all.length);
         int until = Math.min(all.length, from + second);
-        passed.writeBytes(cutter.take(Unpooled.wrappedBuffer(all, 0, from)));
-        passed.writeBytes(cutter.take(Unpooled.wrappedBuffer(all, from, until - from)));
-        passed.writeBytes(cutter.take(Unpooled.wrappedBuffer(all, until, all.length - until)));
+        passed.writeBytes(cutter.take(Unpooled.wrappedBuffer(all, 0, from), 5));
+        passed.writeBytes(cutter.take(Unpooled.wrappedBuffer(all, from, until - from), 5));
+        passed.writeBytes(cutter.take(Unpooled.wrappedBuffer(all, until, all.length - until), 5));
         assertThat(passed.toByteArray()).isEqualTo(all);
         assertThat(cutter.hasPartial()).isFalse();
         assertThat(cutter.lastId()).contains("3");
@@ -41,12 +41,12 @@
     @Example
     void aTornEventIsKeptBackAndForgotten() {
         EventCutter cutter = new EventCutter();
-        byte[] passed = cutter.take(Unpooled.wrappedBuffer(bytes("id: 1\ndata: a\n\nid: 2\ndata: b")));
+        byte[] passed = cutter.take(Unpooled.wrappedBuffer(bytes("id: 1\ndata: a\n\nid: 2\ndata: b")), 5);
         assertThat(new String(passed, StandardCharsets.UTF_8)).isEqualTo("id: 1\ndata: a\n\n");
         assertThat(cutter.hasPartial()).isTrue();
         assertThat(cutter.lastId()).contains("1");
         cutter.dropPartial();
-        assertThat(cutter.take(Unpooled.wrappedBuffer(bytes("id: 2\ndata: b\n\n"))))
+        assertThat(cutter.take(Unpooled.wrappedBuffer(bytes("id: 2\ndata: b\n\n")), 5))
                 .isEqualTo(bytes("id: 2\ndata: b\n\n"));
         assertThat(cutter.lastId()).contains("2");
     }
--- a/kernel/src/main/java/org/bamboohatch/kernel/service/Program.java
+++ b/kernel/src/main/java/org/bamboohatch/kernel/service/Program.java
@@ -4,6 +4,7 @@
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import sun.misc.Signal;
 
 /** Runs the services of a program until it is told to stop. */
 public final class Program {
@@ -21,6 +22,21 @@
      * @param service the service
      */
     public static void run(String name, Service service) {
+        run(name, service, () -> LOGGER.info("program: {} has nothing to reload", name));
+    }
+
+    /**
+     * Runs a program whose settings can be read again.
+     *
+     * @param name name of the program
+     * @param service the parts
+     * @param reload reads the settings again; called on SIGHUP, which would end the process otherwise
+     */
+    public static void run(String name, Service service, Runnable reload) {
+        Signal.handle(new Signal("HUP"), signal -> {
+            LOGGER.info("program: {} is told to reload", name);
+            reload.run();
+        });
         Invariant.escalateTo(Invariant::halt);
         CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(name, service, stopped), "shutdown"));
--- a/kernel/src/main/java/org/bamboohatch/kernel/settings/SettingsCommandLine.java
+++ b/kernel/src/main/java/org/bamboohatch/kernel/settings/SettingsCommandLine.java
@@ -67,6 +67,26 @@
         return line.load(program, parser, type).orElseThrow();
     }
 
+    /**
+     * Reads the settings again while the program runs.
+     *
+     * @param arguments the arguments that the program was started with
+     * @param type the settings record
+     * @param <T> the settings record
+     * @return the settings, empty if they have errors by now
+     */
+    public static <T> Optional<T> reread(String[] arguments, Class<T> type) {
+        SettingsCommandLine line = new SettingsCommandLine();
+        try {
+            new CmdLineParser(line).parseArgument(arguments);
+        } catch (CmdLineException impossible) {
+            throw new IllegalStateException("the arguments were accepted before", impossible);
+        }
+        return YamlReader.read(line.settings, type) instanceof Result.Success<T, List<SettingsError>> success
+                ? Optional.of(success.value())
+                : Optional.empty();
+    }
+
     /**
      * Loads the settings or ends the process.
      *
--- a/protocol/src/main/java/org/bamboohatch/protocol/client/ControlClient.java
+++ b/protocol/src/main/java/org/bamboohatch/protocol/client/ControlClient.java
@@ -1,6 +1,7 @@
 package org.bamboohatch.protocol.client;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -89,6 +90,22 @@
                 .orTimeout(timeout.toMillis(), java.util.concurrent.TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Adds processes that may be tried when the known ones do not answer.
+     *
+     * @param further their addresses
+     */
+    public void alsoTry(List<String> further) {
+        List<String> known = addresses;
+        List<String> added =
+                further.stream().filter(address -> !known.contains(address)).toList();
+        if (!added.isEmpty()) {
+            List<String> all = new ArrayList<>(known);
+            all.addAll(added);
+            addresses = List.copyOf(all);
+        }
+    }
+
     /**
      * Takes note of the control processes that there are by now.
      *
--- a/routing/src/main/java/org/bamboohatch/routing/fleet/EnginePlacement.java
+++ b/routing/src/main/java/org/bamboohatch/routing/fleet/EnginePlacement.java
@@ -33,6 +33,18 @@
     /** Time up to which one engine reads a part, in milliseconds: streams with longer pauses are not disturbed then. */
     private static final double PART_MILLIS = 300;
 
+    /** Part of the target latency that is planned for; the rest covers what is not foreseen. */
+    private static final double TIMELY_SHARE = 0.5;
+
+    /** Weight of a first event that is in time, but later than another one would be. */
+    private static final double EARLY_WEIGHT = 0.2;
+
+    /** Weight of a first event that is later than planned for. */
+    private static final double LATE_WEIGHT = 4;
+
+    /** Part of the longest timely pause that the reading of a pass may fill without harm. */
+    private static final double CALM_SHARE = 0.6;
+
     /** Cost of each further reader, in milliseconds: each one may fail and hold up the others. */
     private static final double READER_MILLIS = 8;
 
@@ -150,7 +162,9 @@
             cost -= FILL_BONUS_MILLIS;
         }
         int longWriters = load.runs() - load.shortWriters();
-        return cost + (longWriters > 0 ? DISTURBED_MILLIS / 2 : 0);
+        double pause = candidate.pace() * (passMillis(load) + load.readMillis() + readMillis);
+        double disturbed = Math.max(0, pause - CALM_SHARE * demand.maximumGapMillis()) * (1 + load.shortWriters());
+        return cost + disturbed + (longWriters > 0 ? DISTURBED_MILLIS / 2 : 0);
     }
 
     /**
@@ -185,7 +199,12 @@
             }
             double part = readMillis / (helpers + 1);
             double firstEvent = latest + part + passMillis(first.load());
-            double cost = firstEvent + harm + helpers * READER_MILLIS + Math.max(0, part - PART_MILLIS);
+            double lateness = Math.max(0, firstEvent - demand.targetLatencyMillis() * TIMELY_SHARE);
+            double cost = firstEvent * EARLY_WEIGHT
+                    + lateness * LATE_WEIGHT
+                    + harm
+                    + helpers * READER_MILLIS
+                    + Math.max(0, part - PART_MILLIS);
             if (cost < bestCost) {
                 bestCost = cost;
                 bestFirst = firstEvent;
