--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
@@ -111,7 +111,7 @@
         this.gate = new RequestGate(dialect, settings.freshnessMillis());
         this.outbound = new OutboundHeaders(dialect);
         this.pool = new TargetPool(loop, dialect.requestId());
-        this.targets = new Targets(settings.zone(), book);
+        this.targets = new Targets(settings.host(), settings.zone(), book);
     }
 
     /**
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Targets.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Targets.java
@@ -6,9 +6,11 @@
 import java.util.Map;
 import java.util.Set;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import org.bamboohatch.gateway.configuration.FleetView;
 import org.bamboohatch.gateway.load.LoadBook;
 import org.bamboohatch.gateway.target.TargetAddress;
+import org.bamboohatch.kernel.id.HostName;
 import org.bamboohatch.kernel.id.ServiceName;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.id.ZoneName;
@@ -19,6 +21,9 @@
 /** The targets that requests may be sent to, and how each has served; used on the thread of all callers only. */
 final class Targets {
 
+    /** Host of this gateway. */
+    private final HostName host;
+
     /** Availability zone of this gateway. */
     private final ZoneName zone;
 
@@ -37,10 +42,12 @@
     /**
      * Creates an empty list.
      *
+     * @param host host of this gateway
      * @param zone availability zone of this gateway
      * @param book work at the targets
      */
-    Targets(ZoneName zone, LoadBook book) {
+    Targets(HostName host, ZoneName zone, LoadBook book) {
+        this.host = host;
         this.zone = zone;
         this.book = book;
     }
@@ -118,7 +125,23 @@
     private Candidate describe(Known candidate, long now) {
         TargetAnnouncement target = candidate.target();
         return new Candidate(
-                target.target(), target.zone().equals(zone), target.maximumRuns(), book.load(target.target(), now), 1);
+                target.target(),
+                target.zone().equals(zone),
+                target.maximumRuns(),
+                book.load(target.target(), now),
+                affinity(target.target()),
+                1);
+    }
+
+    /**
+     * Tells how much this gateway prefers others to a target.
+     *
+     * @param target the target
+     * @return a number from zero to one
+     */
+    private double affinity(TargetName target) {
+        long hash = Hashing.wyhashFinal4().hashCharsToLong(host.value() + '/' + target.value());
+        return (hash >>> 1) / (double) Long.MAX_VALUE;
     }
 
     /**
--- a/routing/src/main/java/org/bamboohatch/routing/fleet/EnginePlacement.java
+++ b/routing/src/main/java/org/bamboohatch/routing/fleet/EnginePlacement.java
@@ -27,6 +27,18 @@
     /** Harm to each stream that pauses for too long, in milliseconds of a later first event. */
     private static final double DISTURBED_MILLIS = 250;
 
+    /** Harm to each stream with longer pauses that pauses for too long even so, in milliseconds of a later first event. */
+    private static final double DISTURBED_LONG_MILLIS = 700;
+
+    /** Pass above which streams with short pauses are disturbed, in milliseconds. */
+    private static final double TIGHT_PAUSE_MILLIS = 210;
+
+    /** Pass above which streams with longer pauses are disturbed, in milliseconds. */
+    private static final double PATIENT_PAUSE_MILLIS = 480;
+
+    /** Weight of a gateway's affinity, in milliseconds: gateways that decide at once do not herd. */
+    private static final double SPREAD_MILLIS = 45;
+
     /** Engines that read one prompt at most, the answering one included. */
     private static final int MAX_READERS = 16;
 
@@ -69,22 +81,47 @@
         this.readMillis = engine.readMillis(demand.promptTokens());
     }
 
-    /**
-     * An engine as a reader of a part.
-     *
-     * @param candidate the engine
-     * @param waitMillis time until it begins to read, in milliseconds
-     * @param harmMillis harm to the streams that it writes if it reads a long part, in milliseconds
-     */
-    private record Reader(Candidate candidate, double waitMillis, double harmMillis) {
+    /** An engine as a reader of a part. */
+    private final class Reader {
+
+        /** The engine. */
+        private final Candidate candidate;
+
+        /** Time until it begins to read, in milliseconds. */
+        private final double waitMillis;
+
+        /** Time of a pass that reads what waits at the engine, in milliseconds. */
+        private final double passMillis;
+
+        /** What speaks against the engine if it reads a part of usual size, in milliseconds. */
+        private final double cost;
+
+        /**
+         * Looks at an engine.
+         *
+         * @param candidate the engine
+         */
+        Reader(Candidate candidate) {
+            Workload load = candidate.load();
+            double idlePass = EnginePlacement.this.passMillis(load);
+            this.candidate = candidate;
+            this.waitMillis = candidate.pace() * (load.readMillis() + idlePass / 2);
+            this.passMillis = candidate.pace() * (load.readMillis() + idlePass);
+            this.cost = waitMillis + harm(Math.min(readMillis, PART_MILLIS)) + candidate.affinity() * SPREAD_MILLIS;
+        }
 
         /**
-         * Returns what speaks against the engine.
+         * Tells how much the streams that the engine writes suffer if it reads a part.
          *
-         * @return the cost in milliseconds
+         * @param partMillis time to read the part, in milliseconds
+         * @return the harm in milliseconds of a later first event
          */
-        double cost() {
-            return waitMillis + harmMillis;
+        double harm(double partMillis) {
+            double pause = passMillis + candidate.pace() * partMillis;
+            int tight = candidate.load().shortWriters();
+            int patient = candidate.load().runs() - tight;
+            return (pause > TIGHT_PAUSE_MILLIS ? tight * DISTURBED_MILLIS : 0)
+                    + (pause > PATIENT_PAUSE_MILLIS ? patient * DISTURBED_LONG_MILLIS : 0);
         }
     }
 
@@ -154,7 +191,7 @@
      */
     private double aloneCost(Candidate candidate) {
         Workload load = candidate.load();
-        double cost = firstMillis(candidate);
+        double cost = firstMillis(candidate) + candidate.affinity() * SPREAD_MILLIS;
         double fill = candidate.slots() * FILL_SHARE;
         if (load.runs() >= candidate.slots()) {
             cost += FULL_PENALTY_MILLIS * (1 + load.runs() - candidate.slots());
@@ -178,55 +215,51 @@
         Candidate first = fitting.stream()
                 .min(Comparator.comparingDouble(this::writerCost).thenComparing(Candidate::name))
                 .orElseThrow();
-        List<Reader> others = new ArrayList<>();
-        for (Candidate candidate : candidates) {
-            if (!candidate.name().equals(first.name())) {
-                others.add(reader(candidate));
-            }
-        }
-        others.sort(Comparator.comparingDouble(Reader::cost)
-                .thenComparing(reader -> reader.candidate().name()));
-        Reader own = reader(first);
+        List<Reader> readers = new ArrayList<>();
+        readers.add(new Reader(first));
+        candidates.stream()
+                .filter(candidate -> !candidate.name().equals(first.name()))
+                .map(Reader::new)
+                .sorted(Comparator.comparingDouble((Reader reader) -> reader.cost)
+                        .thenComparing(reader -> reader.candidate.name()))
+                .forEach(readers::add);
         double bestCost = Double.MAX_VALUE;
         double bestFirst = 0;
         int best = 0;
-        double latest = own.waitMillis();
-        double harm = own.harmMillis();
-        for (int helpers = 0; helpers <= Math.min(MAX_READERS - 1, others.size()); helpers++) {
-            if (helpers > 0) {
-                latest = Math.max(latest, others.get(helpers - 1).waitMillis());
-                harm += others.get(helpers - 1).harmMillis();
-            }
-            double part = readMillis / (helpers + 1);
+        double latest = 0;
+        for (int count = 1; count <= Math.min(MAX_READERS, readers.size()); count++) {
+            latest = Math.max(latest, readers.get(count - 1).waitMillis);
+            double part = readMillis / count;
             double firstEvent = latest + part + passMillis(first.load());
-            double lateness = Math.max(0, firstEvent - demand.targetLatencyMillis() * TIMELY_SHARE);
-            double cost = firstEvent * EARLY_WEIGHT
-                    + lateness * LATE_WEIGHT
-                    + harm
-                    + helpers * READER_MILLIS
-                    + Math.max(0, part - PART_MILLIS);
+            double cost = cost(firstEvent, part, readers.subList(0, count));
             if (cost < bestCost) {
                 bestCost = cost;
                 bestFirst = firstEvent;
-                best = helpers;
+                best = count;
             }
         }
-        List<TargetName> helpers = others.subList(0, best).stream()
-                .map(reader -> reader.candidate().name())
+        List<TargetName> helpers = readers.subList(1, best).stream()
+                .map(reader -> reader.candidate.name())
                 .toList();
         return Optional.of(new Placement(first.name(), helpers, bestFirst));
     }
 
     /**
-     * Looks at an engine as a reader.
+     * Weighs a choice of readers.
      *
-     * @param candidate the engine
-     * @return the reader
+     * @param firstEvent predicted time until the first event, in milliseconds
+     * @param part time that each reader reads, in milliseconds
+     * @param readers the readers
+     * @return what speaks against the choice
      */
-    private Reader reader(Candidate candidate) {
-        Workload load = candidate.load();
-        double wait = candidate.pace() * (load.readMillis() + passMillis(load) / 2);
-        return new Reader(candidate, wait, load.shortWriters() * DISTURBED_MILLIS);
+    private double cost(double firstEvent, double part, List<Reader> readers) {
+        double lateness = Math.max(0, firstEvent - demand.targetLatencyMillis() * TIMELY_SHARE);
+        double harm = readers.stream().mapToDouble(reader -> reader.harm(part)).sum();
+        return firstEvent * EARLY_WEIGHT
+                + lateness * LATE_WEIGHT
+                + harm
+                + readers.size() * READER_MILLIS
+                + Math.max(0, part - PART_MILLIS);
     }
 
     /**
@@ -239,6 +272,6 @@
         Workload load = candidate.load();
         double memory = load.heldTokens() / engine.memoryTokens();
         double full = load.runs() >= candidate.slots() ? FULL_PENALTY_MILLIS : 0;
-        return reader(candidate).cost() + memory * DISTURBED_MILLIS + full;
+        return new Reader(candidate).cost + memory * DISTURBED_MILLIS + full;
     }
 }
--- a/routing/src/test/java/org/bamboohatch/routing/fleet/EnginePlacementTest.java
+++ b/routing/src/test/java/org/bamboohatch/routing/fleet/EnginePlacementTest.java
@@ -22,7 +22,7 @@
     private static final Demand REVIEW = new Demand(154_000, 800, 3_000, 1_000);
 
     private static Candidate engine(int number, Workload load) {
-        return new Candidate(new TargetName("engine-" + (char) ('a' + number)), true, 11, load, 1);
+        return new Candidate(new TargetName("engine-" + (char) ('a' + number)), true, 11, load, 0, 1);
     }
 
     private static List<Candidate> idle(int count) {
@@ -55,7 +55,7 @@
             for (Candidate engine : idle(23)) {
                 int present = runs.getOrDefault(engine.name(), 0);
                 Workload load = new Workload(present, present, present, present * 5_000, 0, present * 6_600);
-                engines.add(new Candidate(engine.name(), true, 11, load, 1));
+                engines.add(new Candidate(engine.name(), true, 11, load, 0, 1));
             }
             runs.merge(place(SHORT, engines).target(), 1, Integer::sum);
         }
