Reads are confirmed by a quorum; a group that starts together elects at once; a new leader tells targets as they register

Ruled out: slow registrations: the leader had 19 targets 0.6 s after its election. Change: an incomplete leader's answers are added to the copy poll by poll; leases for reads are gone, so a replica that starts need not wait for one to end.

--- a/control/src/main/java/org/bamboohatch/control/server/HolderAnswers.java
+++ b/control/src/main/java/org/bamboohatch/control/server/HolderAnswers.java
@@ -77,15 +77,17 @@
         List<String> gateways =
                 poll.exchangeAddress().isEmpty() ? List.of() : leader.gateways().exchangeAddresses();
         if (!tellsMembership(poll, leader, now)) {
-            boolean first = poll.epoch() == 0;
-            TargetRegistry.Changes partial = leader.targets().changesSince(0, 0);
+            // Not complete yet: what is known is added to the holder's copy, which keeps its epoch and so its other
+            // targets.
+            TargetRegistry.Changes known =
+                    leader.targets().changesSince(leader.targets().epoch(), 0);
             return new ControlReply.Changes(
                     revision,
                     documents,
                     poll.epoch(),
                     poll.version(),
-                    first ? partial.joined() : List.of(),
-                    List.of(),
+                    known.joined(),
+                    known.departed(),
                     time,
                     entries,
                     fleet,
--- a/gateway/src/main/java/org/bamboohatch/gateway/configuration/FleetStore.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/configuration/FleetStore.java
@@ -171,13 +171,10 @@
     private void take(Changes changes, GatewayClock sentAt) {
         FleetView copy = view.get();
         Optional<RouteTable> newer = newer(changes.fleet(), copy);
-        boolean news = newer.isPresent()
-                || changes.epoch() != copy.epoch()
-                || changes.version() != copy.version()
-                || !changes.gateways().equals(copy.gateways());
-        if (news) {
-            FleetView next = copy.apply(changes, newer);
-            if (newer.isPresent() || next.targets().size() != copy.targets().size()) {
+        FleetView next = copy.apply(changes, newer);
+        if (!next.equals(copy)) {
+            if (newer.isPresent()
+                    || !next.targets().keySet().equals(copy.targets().keySet())) {
                 LOGGER.info(
                         "fleet: configuration {}, membership {}.{} with {} targets, {} gateways",
                         next.configurationVersion(),
--- a/replication/src/main/java/org/bamboohatch/replication/consensus/ConsensusCore.java
+++ b/replication/src/main/java/org/bamboohatch/replication/consensus/ConsensusCore.java
@@ -98,8 +98,9 @@
         this.term = state.term();
         this.vote = state.vote();
         this.log = new ReplicaLog(new MemoryLog(snapshot, entries));
-        this.lastLeaderContact = now;
-        resetElection(now);
+        // A replica that begins has heard no leader, so that a group that was stopped as a whole elects one at once.
+        this.lastLeaderContact = now - timing.electionMaximum() - 1;
+        this.electionDeadline = now + random.nextLong(timing.heartbeat(), timing.electionMinimum());
     }
 
     /**
@@ -196,16 +197,6 @@
         return log.drain();
     }
 
-    /**
-     * Tells whether this replica may answer reads from its applied state.
-     *
-     * @param now the present time
-     * @return whether no other replica can have been elected
-     */
-    public boolean mayRead(long now) {
-        return role == Role.LEADER && leadership.holdsLease(now) && log.appliedIndex() >= leadership.firstIndex();
-    }
-
     /**
      * Tells whether a quorum has followed this replica since a time, so that no other leader can have decided
      * anything that this one does not know. Unlike a lease it holds whatever the clocks did meanwhile.
--- a/replication/src/main/java/org/bamboohatch/replication/consensus/Leadership.java
+++ b/replication/src/main/java/org/bamboohatch/replication/consensus/Leadership.java
@@ -194,16 +194,6 @@
         return now - quorumContact(now) > timing.electionMaximum();
     }
 
-    /**
-     * Tells whether no other replica can have been elected.
-     *
-     * @param now the present time
-     * @return whether the lease holds
-     */
-    boolean holdsLease(long now) {
-        return replicaLog.commitIndex() >= firstIndex && now - quorumContact(now) < timing.lease();
-    }
-
     /**
      * Returns the time of the latest send that a quorum has acknowledged.
      *
@@ -328,7 +318,7 @@
      * @return whether it has
      */
     boolean isConfirmedSince(long since, long now) {
-        return replicaLog.commitIndex() >= firstIndex && quorumContact(now) >= since;
+        return replicaLog.commitIndex() >= firstIndex && quorumContact(now) > since;
     }
 
     /**
--- a/replication/src/main/java/org/bamboohatch/replication/consensus/Timing.java
+++ b/replication/src/main/java/org/bamboohatch/replication/consensus/Timing.java
@@ -6,15 +6,14 @@
  * @param electionMinimum shortest silence of the leader after which a follower stands for election
  * @param electionMaximum longest such silence
  * @param heartbeat time between two signs of life of the leader
- * @param lease time for which a quorum's reply lets the leader answer reads
  */
-public record Timing(long electionMinimum, long electionMaximum, long heartbeat, long lease) {
+public record Timing(long electionMinimum, long electionMaximum, long heartbeat) {
 
     /** Times for availability zones that are some milliseconds apart. */
-    public static final Timing DEFAULT = new Timing(600, 1_200, 100, 450);
+    public static final Timing DEFAULT = new Timing(600, 1_200, 100);
 
     /**
-     * Checks the times; the lease must end before another leader can be elected, even when clocks drift by a tenth.
+     * Checks the times.
      *
      * @throws IllegalArgumentException if the times do not fit together
      */
@@ -22,8 +21,5 @@
         if (heartbeat * 2 > electionMinimum || electionMinimum >= electionMaximum) {
             throw new IllegalArgumentException("elections need at least two heartbeats of patience");
         }
-        if (lease + lease / 10 >= electionMinimum) {
-            throw new IllegalArgumentException("the lease must end before another leader can be elected");
-        }
     }
 }
