--- a/control/src/main/java/org/bamboohatch/control/ControlMain.java
+++ b/control/src/main/java/org/bamboohatch/control/ControlMain.java
@@ -56,12 +56,21 @@
      * @param extension makes a service that runs beside
      */
     public static void run(ControlSettings settings, Extension extension) {
+        Program.run(PROGRAM, create(settings, extension));
+    }
+
+    /**
+     * Makes a control process.
+     *
+     * @param settings the settings
+     * @param extension makes a service that runs beside
+     * @return the process
+     */
+    public static Service create(ControlSettings settings, Extension extension) {
         ControlComponent parts = DaggerControlComponent.factory().create(settings);
         FrameServer server = new FrameServer(parts.network(), settings.listen(), parts.server());
         Service beside = extension.create(settings, parts.network(), parts.server()::isReady);
-        Program.run(
-                PROGRAM,
-                new Service.Compound(List.of(parts.network(), parts.replica(), server, parts.server(), beside)));
+        return new Service.Compound(List.of(parts.network(), parts.replica(), server, parts.server(), beside));
     }
 
     /**
--- a/gateway/src/main/java/org/bamboohatch/gateway/GatewayMain.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/GatewayMain.java
@@ -4,6 +4,7 @@
 import java.util.function.Supplier;
 
 import org.bamboohatch.kernel.service.Program;
+import org.bamboohatch.kernel.service.Service;
 import org.bamboohatch.kernel.settings.SettingsCommandLine;
 
 /** Starts a gateway. */
@@ -33,10 +34,18 @@
      * @param seeds reads the addresses of control processes that the settings name by now
      */
     public static void run(GatewaySettings settings, Dialect dialect, Supplier<List<String>> seeds) {
-        Program.run(
-                PROGRAM,
-                DaggerGatewayComponent.factory()
-                        .create(settings, dialect, seeds)
-                        .program());
+        Program.run(PROGRAM, create(settings, dialect, seeds));
+    }
+
+    /**
+     * Makes a gateway.
+     *
+     * @param settings the settings
+     * @param dialect names of the header fields
+     * @param seeds reads the addresses of control processes that the settings name by now
+     * @return the gateway
+     */
+    public static Service create(GatewaySettings settings, Dialect dialect, Supplier<List<String>> seeds) {
+        return DaggerGatewayComponent.factory().create(settings, dialect, seeds).program();
     }
 }
--- a/gateway/src/main/java/org/bamboohatch/gateway/GatewayModule.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/GatewayModule.java
@@ -90,13 +90,19 @@
      * @param loop the thread of all callers
      * @param store the gateway's copy of the configuration
      * @param book work at targets
+     * @param metrics counters and histograms
      * @return the forwarder
      */
     @Provides
     @Singleton
     static Forwarder forwarder(
-            GatewaySettings settings, Dialect dialect, EventLoop loop, FleetStore store, LoadBook book) {
-        return new Forwarder(settings, dialect, loop, store, book);
+            GatewaySettings settings,
+            Dialect dialect,
+            EventLoop loop,
+            FleetStore store,
+            LoadBook book,
+            GatewayMetrics metrics) {
+        return new Forwarder(settings, dialect, loop, store, book, metrics);
     }
 
     /**
@@ -114,6 +120,18 @@
         return new LoadExchange(settings, book, loop, network);
     }
 
+    /**
+     * Provides the counters and histograms.
+     *
+     * @param registry the registry
+     * @return the metrics
+     */
+    @Provides
+    @Singleton
+    static GatewayMetrics gatewayMetrics(PrometheusMeterRegistry registry) {
+        return new GatewayMetrics(registry);
+    }
+
     /**
      * Provides the metrics.
      *
--- a/gateway/src/main/java/org/bamboohatch/gateway/GatewayProgram.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/GatewayProgram.java
@@ -76,7 +76,8 @@
      * @param store the gateway's copy of the configuration
      * @param forwarder forwards requests
      * @param exchange exchanges load reports
-     * @param metrics the metrics
+     * @param registry the registry of the metrics
+     * @param metrics counters and histograms
      */
     @Inject
     public GatewayProgram(
@@ -86,7 +87,8 @@
             FleetStore store,
             Forwarder forwarder,
             LoadExchange exchange,
-            PrometheusMeterRegistry metrics) {
+            PrometheusMeterRegistry registry,
+            GatewayMetrics metrics) {
         this.settings = settings;
         this.network = network;
         this.loop = loop;
@@ -95,7 +97,17 @@
         this.exchange = exchange;
         this.reports = new FrameServer(network, settings.exchange(), exchange);
         this.callers = new CallerServer(Network.parse(settings.listen()), loop, forwarder, this::limits);
-        this.readiness = new ReadinessServer(Network.parse(settings.readiness()), loop, this::isReady, metrics);
+        this.readiness = new ReadinessServer(Network.parse(settings.readiness()), loop, this::isReady, registry);
+        metrics.watch("gateway.open", "requests under way", forwarder::open);
+        metrics.watch(
+                "gateway.configuration.age",
+                "milliseconds since the configuration was the newest for certain",
+                () -> store.age(GatewayClock.read()));
+        metrics.watch("gateway.configuration.version", "version of the configuration in force", () -> store.view()
+                .configurationVersion());
+        metrics.watch("gateway.targets", "targets that take work", () -> store.view()
+                .targets()
+                .size());
     }
 
     /**
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Attempt.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Attempt.java
@@ -212,7 +212,7 @@
             abandon("answer without a seal or with an encoding");
             return;
         }
-        if (forwarding.isNotExecuted(head)) {
+        if (TargetStatus.isNotExecuted(head, forwarding.dialect())) {
             mode = Mode.DROP;
             forwarding.onNotExecuted(this, head);
             return;
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
@@ -13,6 +13,7 @@
 import org.bamboohatch.document.fleet.EngineModel;
 import org.bamboohatch.gateway.Dialect;
 import org.bamboohatch.gateway.GatewayClock;
+import org.bamboohatch.gateway.GatewayMetrics;
 import org.bamboohatch.gateway.GatewaySettings;
 import org.bamboohatch.gateway.configuration.FleetCopy;
 import org.bamboohatch.gateway.configuration.FleetView;
@@ -90,6 +91,9 @@
     /** Log of the decisions. */
     private final DecisionLog log = new DecisionLog("request");
 
+    /** Counters and histograms. */
+    private final GatewayMetrics metrics;
+
     /** Requests that are under way. */
     private int open;
 
@@ -101,8 +105,16 @@
      * @param loop the thread of all callers
      * @param store the gateway's copy of the configuration
      * @param book work at targets
+     * @param metrics counters and histograms
      */
-    public Forwarder(GatewaySettings settings, Dialect dialect, EventLoop loop, FleetCopy store, LoadBook book) {
+    public Forwarder(
+            GatewaySettings settings,
+            Dialect dialect,
+            EventLoop loop,
+            FleetCopy store,
+            LoadBook book,
+            GatewayMetrics metrics) {
+        this.metrics = metrics;
         this.settings = settings;
         this.dialect = dialect;
         this.loop = loop;
@@ -144,6 +156,7 @@
                     .with("configuration", store.view().configurationVersion())
                     .with("ageMs", store.age(now))
                     .write();
+            metrics.turnedAway(refused.refusal().code().word());
             responder.refuse(refused.refusal());
             return Idle.INSTANCE;
         }
@@ -361,6 +374,7 @@
             return false;
         }
         budgets.put(service, budget.spend());
+        metrics.repeated();
         return true;
     }
 
@@ -372,6 +386,7 @@
      * @param now the present time
      */
     void onFirst(Forwarding forwarding, Attempt attempt, long now) {
+        metrics.first(forwarding.demand(), now - forwarding.request().arrivedAt());
         log(Weight.ROUTINE, "first", forwarding)
                 .with("target", attempt.target().target())
                 .with("afterMs", now - attempt.beganAt())
@@ -383,8 +398,11 @@
      * Takes note of the end of a request.
      *
      * @param forwarding the request
+     * @param outcome how it ended
      */
-    void onEnd(Forwarding forwarding) {
+    void onEnd(Forwarding forwarding, String outcome) {
+        long took = GatewayClock.now() - forwarding.request().arrivedAt();
+        metrics.end(forwarding.demand(), outcome, took, forwarding.cutter().longestPause());
         open--;
     }
 
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarding.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarding.java
@@ -116,6 +116,15 @@
         return request;
     }
 
+    /**
+     * Returns what the request asks of a target.
+     *
+     * @return the demand
+     */
+    Demand demand() {
+        return demand;
+    }
+
     /**
      * Returns what takes the answer.
      *
@@ -217,17 +226,6 @@
         attempt.send(connection);
     }
 
-    /**
-     * Tells whether a target says that it did not run the request.
-     *
-     * @param head head of its answer
-     * @return whether it says so
-     */
-    boolean isNotExecuted(HttpResponse head) {
-        return head.status().code() == TargetStatus.MISDIRECTED
-                || head.headers().contains(dialect().notExecuted());
-    }
-
     /**
      * Decides what follows when a target did not run the request.
      *
@@ -471,7 +469,7 @@
                 .with("target", current == null ? "" : current.target().target())
                 .with("tookMs", GatewayClock.now() - request.arrivedAt())
                 .write();
-        forwarder.onEnd(this);
+        forwarder.onEnd(this, event);
     }
 
     /**
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/RequestGate.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/RequestGate.java
@@ -28,6 +28,9 @@
     /** Time after which a caller should ask again while the configuration is missing or old. */
     private static final Duration CONTACT_RETRY = Duration.ofMillis(500);
 
+    /** Time after which a caller should ask again while no configuration is known: an election and the first poll. */
+    private static final Duration START_RETRY = Duration.ofMillis(1_200);
+
     /** Names of the header fields. */
     private final Dialect dialect;
 
@@ -55,7 +58,8 @@
      */
     public Admission decide(InboundRequest request, FleetView view, long age) {
         if (view.table().isEmpty()) {
-            return refused(ErrorCode.NOT_READY, "The gateway knows no configuration yet.");
+            return new Refused(Refusal.notRun(ErrorCode.NOT_READY, "The gateway knows no configuration yet.")
+                    .withRetryAfter(START_RETRY));
         }
         RouteTable table = view.table().get();
         String host = request.headers().get("Host");
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetStatus.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetStatus.java
@@ -1,5 +1,8 @@
 package org.bamboohatch.gateway.forward;
 
+import io.netty.handler.codec.http.HttpResponse;
+import org.bamboohatch.gateway.Dialect;
+
 /** Statuses of targets that decide what follows. */
 final class TargetStatus {
 
@@ -11,4 +14,15 @@
 
     /** Not instantiated. */
     private TargetStatus() {}
+
+    /**
+     * Tells whether a target says that it did not run the request.
+     *
+     * @param head head of its answer
+     * @param dialect names of the header fields
+     * @return whether it says so
+     */
+    static boolean isNotExecuted(HttpResponse head, Dialect dialect) {
+        return head.status().code() == MISDIRECTED || head.headers().contains(dialect.notExecuted());
+    }
 }
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -23,6 +24,7 @@
 import org.bamboohatch.document.fleet.WeightedService;
 import org.bamboohatch.gateway.Dialect;
 import org.bamboohatch.gateway.GatewayClock;
+import org.bamboohatch.gateway.GatewayMetrics;
 import org.bamboohatch.gateway.GatewaySettings;
 import org.bamboohatch.gateway.configuration.FleetCopy;
 import org.bamboohatch.gateway.configuration.FleetView;
@@ -47,6 +49,8 @@
 
     final CallerServer callers;
 
+    final SimpleMeterRegistry registry = new SimpleMeterRegistry();
+
     volatile long ageMillis;
 
     private final EventLoop loop;
@@ -73,7 +77,7 @@
                 10_000,
                 1_000,
                 1_500);
-        forwarder = new Forwarder(settings, Dialect.DEFAULT, loop, this, new LoadBook());
+        forwarder = new Forwarder(settings, Dialect.DEFAULT, loop, this, new LoadBook(), new GatewayMetrics(registry));
         callers = new CallerServer(new InetSocketAddress("127.0.0.1", port), loop, forwarder, () -> LIMITS);
         callers.start();
         if (targets.length > 0) {
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/HostileInputTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/HostileInputTest.java
@@ -91,6 +91,8 @@
         gateway.ageMillis = 4_001;
         expect(503, request("GET", "/read/x", "a", "", ""));
         gateway.ageMillis = 2_000;
+        assertThat(gateway.registry.get("gateway.turned.away").counter().count())
+                .isEqualTo(1);
         expect(503, request("GET", "/unknown/x", "a", "", ""));
         expect(503, request("GET", "/read/x", "a", "", "").replace("key-1", "key-2"));
         gateway.ageMillis = 0;
--- a/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaService.java
+++ b/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaService.java
@@ -20,7 +20,6 @@
 import org.bamboohatch.kernel.service.Invariant;
 import org.bamboohatch.kernel.service.Service;
 import org.bamboohatch.protocol.message.Message;
-import org.bamboohatch.protocol.transport.Connection;
 import org.bamboohatch.protocol.transport.Link;
 import org.bamboohatch.protocol.transport.Network;
 import org.bamboohatch.replication.StateMachine;
@@ -428,10 +427,8 @@
      */
     private void send(String address, Message message) {
         Link link = links.computeIfAbsent(address, added -> new Link(network, added, status -> {}));
-        CompletableFuture<Connection> connection = link.connect();
-        if (connection.isDone() && !connection.isCompletedExceptionally()) {
-            connection.join().tell(message);
-        }
+        // What is sent while the connection opens goes out with it: a lost first vote would cost a whole election.
+        link.connect().thenAccept(connection -> connection.tell(message));
     }
 
     /**
