A full disk stops acknowledging instead of the process; a stopping gateway takes nothing that it could cut off

The trace: front-kumamoto-2 got SIGTERM at 29.36 s, a caller reused at 35.92 s the connection of a stream that had begun before the signal, and the process ended at 37.04 s in the middle of the next answer. The control process on a full disk ended by itself, as any failed write was taken for a broken disk. Change: connections are closed after the answer that was under way at the signal; 2.8 s after it requests are refused as not run, with a time to come back; a write that a full disk refused is undone, kept and tried again.

--- a/gateway/src/main/java/org/bamboohatch/gateway/GatewayProgram.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/GatewayProgram.java
@@ -31,6 +31,9 @@
     /** Time in which a balancer surely stops to send new connections to a gateway that is not ready, in milliseconds. */
     private static final long ROTATION_MS = 2_500;
 
+    /** Time after the signal to stop until which requests are let in, in milliseconds. */
+    private static final long LAST_ADMISSION_MS = 2_800;
+
     /** Interval at which a stopping gateway looks whether it is done, in milliseconds. */
     private static final long STOP_INTERVAL_MS = 100;
 
@@ -161,6 +164,9 @@
         while (elapsed < settings.stopMillis() && (elapsed < ROTATION_MS || open > 0)) {
             sleep();
             elapsed = GatewayClock.now() - begun;
+            if (elapsed >= LAST_ADMISSION_MS) {
+                loop.execute(forwarder::stopAdmitting);
+            }
             long idle = elapsed < ROTATION_MS ? Long.MAX_VALUE : STOP_IDLE_MS;
             open = loop.submit(() -> callers.closeIdle(idle))
                     .syncUninterruptibly()
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
@@ -1,5 +1,6 @@
 package org.bamboohatch.gateway.forward;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -29,6 +30,8 @@
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.log.DecisionLog;
 import org.bamboohatch.kernel.log.DecisionLog.Weight;
+import org.bamboohatch.kernel.outcome.ErrorCode;
+import org.bamboohatch.kernel.outcome.Refusal;
 import org.bamboohatch.routing.fleet.Demand;
 import org.bamboohatch.routing.fleet.Placement;
 import org.bamboohatch.routing.fleet.PlacementPolicy;
@@ -58,6 +61,9 @@
     /** Rank at an engine's queue of other requests. */
     private static final String USUAL = "5";
 
+    /** Time after which a caller should ask again when this gateway is stopping: another one takes it at once. */
+    private static final Duration STOPPING_RETRY = Duration.ofMillis(20);
+
     /** The settings. */
     private final GatewaySettings settings;
 
@@ -94,6 +100,9 @@
     /** Counters and histograms. */
     private final GatewayMetrics metrics;
 
+    /** Whether requests are let in. */
+    private boolean admitting = true;
+
     /** Requests that are under way. */
     private int open;
 
@@ -145,8 +154,19 @@
         return open;
     }
 
+    /** Turns further requests away: what comes now could be cut off by the end of the process. */
+    public void stopAdmitting() {
+        admitting = false;
+    }
+
     @Override
     public Listener begin(InboundRequest request, Responder responder) {
+        if (!admitting) {
+            metrics.turnedAway(ErrorCode.NOT_READY.word());
+            responder.refuse(Refusal.notRun(ErrorCode.NOT_READY, "The gateway is stopping.")
+                    .withRetryAfter(STOPPING_RETRY));
+            return Idle.INSTANCE;
+        }
         GatewayClock now = GatewayClock.read();
         Admission admission = gate.decide(request, store.view(), store.age(now));
         if (admission instanceof Refused refused) {
--- a/gateway/src/main/java/org/bamboohatch/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/http/CallerConnection.java
@@ -388,7 +388,7 @@
                 return;
             }
             var written = context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-            if (closes) {
+            if (closes || server.isStopping()) {
                 closeGently(written);
             } else {
                 nextRequest();
--- a/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaStepper.java
+++ b/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaStepper.java
@@ -4,6 +4,8 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.bamboohatch.replication.StateMachine;
 import org.bamboohatch.replication.consensus.ConsensusCore;
 import org.bamboohatch.replication.consensus.Effects;
@@ -11,6 +13,7 @@
 import org.bamboohatch.replication.message.EntryKind;
 import org.bamboohatch.replication.message.LogEntry;
 import org.bamboohatch.replication.message.Snapshot;
+import org.bamboohatch.replication.storage.DiskFullException;
 import org.bamboohatch.replication.storage.LogStore;
 
 /**
@@ -19,6 +22,12 @@
  */
 public final class ReplicaStepper {
 
+    /** Logger of this part. */
+    private static final Logger LOGGER = LogManager.getLogger(ReplicaStepper.class);
+
+    /** Time between two tries to write to a full disk, in milliseconds. */
+    private static final long FULL_RETRY_MS = 100;
+
     /** The consensus. */
     private final ConsensusCore core;
 
@@ -31,6 +40,12 @@
     /** Entries after which a snapshot is taken. */
     private final int snapshotEntries;
 
+    /** Effects that a full disk refused, or null. */
+    private Effects unsaved;
+
+    /** Time of the next try to make them durable. */
+    private long nextTry;
+
     /** Hears each applied entry. */
     @FunctionalInterface
     public interface AppliedListener {
@@ -69,12 +84,12 @@
      */
     public void step(long now, Consumer<Outgoing> transport, AppliedListener listener) throws IOException {
         core.tick(now);
-        boolean more = true;
+        boolean more = unsaved == null || saveAgain(now, transport);
         while (more) {
             Effects effects = core.drain();
             effects.early().forEach(transport);
-            if (effects.needsDisk()) {
-                persist(effects);
+            if (!save(effects, now)) {
+                return;
             }
             core.persisted(core.log().lastIndex(), now);
             effects.late().forEach(transport);
@@ -82,6 +97,49 @@
         }
     }
 
+    /**
+     * Makes effects durable unless the disk is full.
+     *
+     * @param effects the effects
+     * @param now the present time
+     * @return whether they are durable; if not, they are kept and nothing is acknowledged meanwhile
+     * @throws IOException if the storage failed
+     */
+    private boolean save(Effects effects, long now) throws IOException {
+        try {
+            if (effects.needsDisk()) {
+                persist(effects);
+            }
+            unsaved = null;
+            return true;
+        } catch (DiskFullException full) {
+            if (unsaved == null) {
+                LOGGER.error("replica: {}; nothing is acknowledged until there is", full.getMessage());
+            }
+            unsaved = effects;
+            nextTry = now + FULL_RETRY_MS;
+            return false;
+        }
+    }
+
+    /**
+     * Tries again to make durable what a full disk refused. That it is durable is told with the effects after it.
+     *
+     * @param now the present time
+     * @param transport sends messages
+     * @return whether it is durable now
+     * @throws IOException if the storage failed
+     */
+    private boolean saveAgain(long now, Consumer<Outgoing> transport) throws IOException {
+        Effects kept = unsaved;
+        if (now < nextTry || !save(kept, now)) {
+            return false;
+        }
+        LOGGER.info("replica: the disk has room again");
+        kept.late().forEach(transport);
+        return true;
+    }
+
     /**
      * Makes effects durable.
      *
@@ -123,7 +181,11 @@
         }
         if (core.log().appliedIndex() - core.log().snapshot().index() >= snapshotEntries) {
             Snapshot snapshot = core.log().compact(machine.snapshot(), snapshotEntries / 2);
-            store.compact(snapshot, core.log().firstIndex(), core.log().lastIndex() + 1);
+            try {
+                store.compact(snapshot, core.log().firstIndex(), core.log().lastIndex() + 1);
+            } catch (DiskFullException full) {
+                LOGGER.error("replica: the log is not compacted: {}", full.getMessage());
+            }
         }
         return any;
     }
--- a/replication/src/main/java/org/bamboohatch/replication/storage/FolderDisk.java
+++ b/replication/src/main/java/org/bamboohatch/replication/storage/FolderDisk.java
@@ -20,6 +20,9 @@
     /** Name of the file whose lock marks the owner. */
     private static final String LOCK_FILE = "lock";
 
+    /** What the system says of a full disk. */
+    private static final String NO_SPACE = "No space left";
+
     /** Ending of files that are not complete. */
     private static final String TEMPORARY = ".tmp";
 
@@ -90,6 +93,9 @@
                 temporary, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)) {
             writeFully(channel, content);
             channel.force(true);
+        } catch (IOException failed) {
+            Files.deleteIfExists(temporary);
+            throw explain(name, failed);
         }
         Files.move(
                 temporary, folder.resolve(name), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
@@ -104,7 +110,25 @@
             open.put(name, channel);
             syncFolder();
         }
-        writeFully(channel, content);
+        long before = channel.size();
+        try {
+            writeFully(channel, content);
+        } catch (IOException failed) {
+            channel.truncate(before);
+            throw explain(name, failed);
+        }
+    }
+
+    /**
+     * Tells a full disk from other failures.
+     *
+     * @param name name of the file
+     * @param failed the failure of a write
+     * @return the failure to throw
+     */
+    private static IOException explain(String name, IOException failed) {
+        String message = String.valueOf(failed.getMessage());
+        return message.contains(NO_SPACE) ? new DiskFullException(name, failed) : failed;
     }
 
     @Override
--- a/replication/src/main/java/org/bamboohatch/replication/storage/LogStore.java
+++ b/replication/src/main/java/org/bamboohatch/replication/storage/LogStore.java
@@ -247,6 +247,7 @@
         if (segments.isEmpty()) {
             beginSegment(entries.get(0).index());
         }
+        long before = length;
         for (LogEntry entry : entries) {
             offsets.put(entry.index(), length);
             byte[] record = RecordFormat.record(MessageCodec.instance().encode(entry));
@@ -254,7 +255,13 @@
             length += record.length;
         }
         String segment = segments.lastEntry().getValue();
-        disk.append(segment, batch.toByteArray());
+        try {
+            disk.append(segment, batch.toByteArray());
+        } catch (DiskFullException full) {
+            offsets.tailMap(entries.get(0).index(), true).clear();
+            length = before;
+            throw full;
+        }
         disk.sync(segment);
     }
 
--- a/replication/src/test/java/org/bamboohatch/replication/simulation/SimulatedCluster.java
+++ b/replication/src/test/java/org/bamboohatch/replication/simulation/SimulatedCluster.java
@@ -122,8 +122,13 @@
             replica.paused = true;
         } else if (choice < 2_900) {
             replica.paused = false;
+            replica.disk.full = false;
         } else if (choice < 2_910) {
             loseDisk(replica);
+        } else if (choice < 2_940) {
+            replica.disk.full = true;
+        } else if (choice < 3_040) {
+            replica.disk.full = false;
         }
     }
 
@@ -305,6 +310,7 @@
         cuts.clear();
         for (SimulatedReplica replica : replicas) {
             replica.paused = false;
+            replica.disk.full = false;
             if (!replica.isUp()) {
                 replica.disk.crashAfter(-1);
                 replica.start();
--- a/replication/src/test/java/org/bamboohatch/replication/storage/FakeDisk.java
+++ b/replication/src/test/java/org/bamboohatch/replication/storage/FakeDisk.java
@@ -10,6 +10,9 @@
 /** A disk in memory that loses what was not synced when it crashes, and can be told to crash at any operation. */
 public final class FakeDisk implements Disk {
 
+    /** Whether writes are refused. */
+    public boolean full;
+
     /** Thrown when the disk has crashed. */
     public static final class CrashException extends IOException {
         /** Creates the exception. */
@@ -81,6 +84,7 @@
 
     @Override
     public void replace(String name, byte[] content) throws IOException {
+        checkRoom(name);
         operate();
         written.put(name, content.clone());
         if (!ignoresSync) {
@@ -91,6 +95,7 @@
 
     @Override
     public void append(String name, byte[] content) throws IOException {
+        checkRoom(name);
         operate();
         byte[] old = written.getOrDefault(name, new byte[0]);
         byte[] joined = Arrays.copyOf(old, old.length + content.length);
@@ -127,4 +132,11 @@
     public void close() {
         // Nothing is held.
     }
+
+    /** Refuses every write while the disk is full. */
+    private void checkRoom(String name) throws DiskFullException {
+        if (full) {
+            throw new DiskFullException(name, new IOException("No space left on device"));
+        }
+    }
 }
