--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/StoppingTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/StoppingTest.java
@@ -30,13 +30,18 @@
                 Socket caller = gateway.connect()) {
             String keeping = request("POST", "/stream/x", "a1", "", "prompt").replace("Connection: close\r\n", "");
             caller.getOutputStream().write(keeping.getBytes(StandardCharsets.UTF_8));
-            while (target.seen.isEmpty()) {
-                Thread.sleep(5);
+            String line = FakeTarget.readLine(caller.getInputStream());
+            while (!line.equals("data: a")) {
+                line = FakeTarget.readLine(caller.getInputStream());
             }
             gateway.callers.beginStop();
             stopped.countDown();
-            String text = GatewayHarness.readAll(caller.getInputStream());
-            assertThat(text).contains("data: a").contains("data: b").endsWith("0\r\n\r\n");
+            while (!line.equals("0")) {
+                line = FakeTarget.readLine(caller.getInputStream());
+            }
+            caller.getOutputStream().write(keeping.replace("a1", "a2").getBytes(StandardCharsets.UTF_8));
+            assertThat(GatewayHarness.readAll(caller.getInputStream()).strip()).isEmpty();
+            assertThat(target.seen).extracting(FakeTarget.Seen::id).containsExactly("a1");
         }
     }
 
