--- a/cli/src/main/java/org/bamboohatch/cli/CommandLine.java
+++ b/cli/src/main/java/org/bamboohatch/cli/CommandLine.java
@@ -5,6 +5,7 @@
 import org.bamboohatch.cli.command.Apply;
 import org.bamboohatch.cli.command.Command;
 import org.bamboohatch.cli.command.Diff;
+import org.bamboohatch.cli.command.Explain;
 import org.bamboohatch.cli.command.Get;
 import org.bamboohatch.cli.command.History;
 import org.bamboohatch.cli.command.ShowTimeline;
@@ -58,6 +59,7 @@
         @SubCommand(name = "status", impl = Status.class),
         @SubCommand(name = "targets", impl = Targets.class),
         @SubCommand(name = "timeline", impl = ShowTimeline.class),
+        @SubCommand(name = "explain", impl = Explain.class),
         @SubCommand(name = "verify-data", impl = VerifyData.class)
     })
     private Command command;
