The loads that placement answers, replayed on emulated engines

Change: engines that work in passes, parts of prompts, gateways that know of each other 20 ms late; both policies in one run with one seed.

--- /dev/null
+++ b/gateway/src/test/java/org/bamboohatch/gateway/load/PlacementReplay.java
@@ -0,0 +1,159 @@
+package org.bamboohatch.gateway.load;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+import org.bamboohatch.document.fleet.EngineModel;
+import org.bamboohatch.gateway.load.PassEngine.Generation;
+import org.bamboohatch.kernel.id.TargetName;
+import org.bamboohatch.routing.fleet.Candidate;
+import org.bamboohatch.routing.fleet.Demand;
+import org.bamboohatch.routing.fleet.Placement;
+import org.bamboohatch.routing.fleet.PlacementPolicy;
+
+/** Replays a load on emulated engines with gateways that know of each other's choices a little later. */
+final class PlacementReplay {
+
+    static final EngineModel ENGINE =
+            new EngineModel(11, 315_000, 51, 0.85, 0.006, 0.00285, 177_000, 0.184, 2_048, 200, 0.05, 11_000, 1_600);
+
+    private static final int GATEWAYS = 6;
+
+    /** Age of what a gateway knows of the others, in milliseconds. */
+    private static final int REPORT_MILLIS = 20;
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private final List<TargetName> names = new ArrayList<>();
+
+    private final Map<TargetName, PassEngine> engines = new LinkedHashMap<>();
+
+    private final List<LoadBook> books = new ArrayList<>();
+
+    private final PlacementPolicy policy;
+
+    private final SplittableRandom random;
+
+    private int refused;
+
+    /** Arrivals a second of short requests and of reviews. */
+    record Load(double shortPerSecond, double reviewsPerSecond) {}
+
+    /** How the requests of a class fared. */
+    record Served(int requests, int timely) {
+
+        double timelyShare() {
+            return requests == 0 ? 1 : (double) timely / requests;
+        }
+    }
+
+    /** How both classes fared. */
+    record Outcome(Served shortRequests, Served reviews) {}
+
+    PlacementReplay(PlacementPolicy policy, int engineCount, long seed) {
+        this.policy = policy;
+        this.random = new SplittableRandom(seed);
+        for (int number = 0; number < engineCount; number++) {
+            TargetName name = new TargetName("engine-" + number);
+            names.add(name);
+            engines.put(name, new PassEngine(ENGINE));
+        }
+        for (int gateway = 0; gateway < GATEWAYS; gateway++) {
+            books.add(new LoadBook());
+        }
+    }
+
+    Outcome run(Load load, int seconds) {
+        List<Generation> shorts = new ArrayList<>();
+        List<Generation> reviews = new ArrayList<>();
+        for (int now = 0; now < seconds * MILLIS_PER_SECOND; now++) {
+            if (random.nextDouble() < load.shortPerSecond() / MILLIS_PER_SECOND) {
+                long tokens = Math.min(23_800, lognormal(4_960, 0.8));
+                shorts.add(begin(new Generation(now, tokens, 51 * 33, 300, 250), now));
+            }
+            if (random.nextDouble() < load.reviewsPerSecond() / MILLIS_PER_SECOND) {
+                long tokens = Math.min(300_000, lognormal(154_000, 0.5));
+                reviews.add(begin(new Generation(now, tokens, 51 * 16, 3_000, 1_000), now));
+            }
+            int time = now;
+            engines.values().forEach(engine -> engine.advance(time));
+            if (now % REPORT_MILLIS == 0) {
+                exchange(now);
+            }
+        }
+        double settled = seconds * MILLIS_PER_SECOND - 5_000;
+        return new Outcome(served(shorts, settled), served(reviews, settled));
+    }
+
+    private static Served served(List<Generation> generations, double settled) {
+        List<Generation> counted =
+                generations.stream().filter(each -> each.arrivedAt < settled).toList();
+        return new Served(counted.size(), (int)
+                counted.stream().filter(Generation::isTimely).count());
+    }
+
+    private long lognormal(double mean, double deviation) {
+        return Math.max(
+                200, Math.round(mean * Math.exp(deviation * random.nextGaussian() - deviation * deviation / 2)));
+    }
+
+    private Generation begin(Generation generation, int now) {
+        int gateway = random.nextInt(GATEWAYS);
+        LoadBook book = books.get(gateway);
+        Demand demand = new Demand(
+                generation.promptTokens, (long) generation.answerTokens, generation.targetMillis, generation.gapMillis);
+        List<Candidate> candidates = names.stream()
+                .map(name ->
+                        new Candidate(name, true, ENGINE.slots(), book.load(name, now), affinity(gateway, name), 1))
+                .toList();
+        Optional<Placement> placement = policy.place(demand, candidates, Optional.of(ENGINE));
+        if (placement.isEmpty()) {
+            refused++;
+            return generation;
+        }
+        int readers = placement.get().helpers().size() + 1;
+        double part = ENGINE.readMillis(generation.promptTokens) / readers;
+        List<LoadBook.Ticket> tickets = new ArrayList<>();
+        tickets.add(book.add(
+                placement.get().target(),
+                generation.promptTokens,
+                demand.memoryTokens(),
+                demand.isTight(),
+                true,
+                part,
+                now));
+        for (TargetName helper : placement.get().helpers()) {
+            tickets.add(book.add(helper, generation.promptTokens / readers, 0, false, false, part, now));
+        }
+        generation.onFirst = () -> tickets.forEach(LoadBook.Ticket::beginWriting);
+        generation.onEnd = () -> tickets.forEach(LoadBook.Ticket::end);
+        PassEngine.send(
+                generation,
+                engines.get(placement.get().target()),
+                placement.get().helpers().stream().map(engines::get).toList());
+        return generation;
+    }
+
+    private static double affinity(int gateway, TargetName name) {
+        return new SplittableRandom(31L * gateway + name.hashCode()).nextDouble();
+    }
+
+    private void exchange(int now) {
+        for (int from = 0; from < GATEWAYS; from++) {
+            var work = books.get(from).drain(true, now);
+            for (int to = 0; to < GATEWAYS; to++) {
+                if (to != from) {
+                    books.get(to).report("gateway-" + from, work, true, now);
+                }
+            }
+        }
+    }
+
+    int refused() {
+        return refused;
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/bamboohatch/gateway/load/PlacementReplayTest.java
@@ -0,0 +1,75 @@
+package org.bamboohatch.gateway.load;
+
+import org.bamboohatch.gateway.load.PlacementReplay.Load;
+import org.bamboohatch.gateway.load.PlacementReplay.Outcome;
+import org.bamboohatch.routing.fleet.PlacementPolicy;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** The loads that placement answers, replayed on emulated engines; policies are compared within one run. */
+class PlacementReplayTest {
+
+    private static final int ENGINES = 23;
+
+    private static final int SECONDS = 30;
+
+    private static Outcome replay(PlacementPolicy policy, Load load) {
+        return new PlacementReplay(policy, ENGINES, 20_261_204).run(load, SECONDS);
+    }
+
+    @Test
+    void reviewsBesideShortRequests() {
+        Load load = new Load(29, 0.9);
+        Outcome baseline = replay(PlacementPolicy.FEWEST_RUNS, load);
+        Outcome predicted = replay(PlacementPolicy.PREDICTED, load);
+        assertThat(late(predicted)).isLessThan(late(baseline) / 2);
+        assertThat(predicted.reviews().timelyShare())
+                .isGreaterThan(baseline.reviews().timelyShare());
+    }
+
+    @Test
+    void aFloodOfReviews() {
+        Load load = new Load(12, 2.5);
+        Outcome baseline = replay(PlacementPolicy.FEWEST_RUNS, load);
+        Outcome predicted = replay(PlacementPolicy.PREDICTED, load);
+        assertThat(late(predicted)).isLessThan(late(baseline) / 2);
+        assertThat(predicted.reviews().timelyShare())
+                .isGreaterThan(baseline.reviews().timelyShare());
+    }
+
+    @Test
+    void aBurstOfShortRequests() {
+        Load load = new Load(72, 0.05);
+        Outcome baseline = replay(PlacementPolicy.FEWEST_RUNS, load);
+        Outcome predicted = replay(PlacementPolicy.PREDICTED, load);
+        assertThat(late(predicted)).isLessThanOrEqualTo(late(baseline));
+    }
+
+    @Test
+    void theSameSeedGivesTheSameOutcome() {
+        Load load = new Load(29, 0.9);
+        assertThat(replay(PlacementPolicy.PREDICTED, load)).isEqualTo(replay(PlacementPolicy.PREDICTED, load));
+    }
+
+    private static double late(Outcome outcome) {
+        return 1 - outcome.shortRequests().timelyShare();
+    }
+
+    /** Prints how each policy fares under each load. */
+    public static void main(String[] arguments) {
+        for (Load load : new Load[] {new Load(29, 0.9), new Load(12, 2.5), new Load(72, 0.05)}) {
+            for (PlacementPolicy policy : PlacementPolicy.values()) {
+                Outcome outcome = replay(policy, load);
+                System.out.printf(
+                        "%s %s: short %.3f of %d, reviews %.3f of %d in time%n",
+                        load,
+                        policy,
+                        outcome.shortRequests().timelyShare(),
+                        outcome.shortRequests().requests(),
+                        outcome.reviews().timelyShare(),
+                        outcome.reviews().requests());
+            }
+        }
+    }
+}
