--- a/gateway/src/main/java/org/bamboohatch/gateway/Dialect.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/Dialect.java
@@ -10,12 +10,10 @@
  * @param expectedTarget name of the only target that may run the request
  * @param notExecuted present in answers of targets that did not run the request
  * @param seal the target's signature of its answer
- * @param model the model that a generation asks for
  * @param tokenCounts sizes of a generation: prompt tokens and the most answer tokens, separated by a comma
  * @param lengthHint the caller's estimate of the answer's size, in tokens
  * @param priority rank at the target's queue, zero for the most urgent
  * @param helpers addresses of the engines that read a part of the prompt, separated by commas
- * @param faultyTarget address of the target that an answer blames
  * @param lastEventId id of the last event that the caller has; a stream goes on after it
  */
 public record Dialect(
@@ -26,12 +24,10 @@
         String expectedTarget,
         String notExecuted,
         String seal,
-        String model,
         String tokenCounts,
         String lengthHint,
         String priority,
         String helpers,
-        String faultyTarget,
         String lastEventId) {
 
     /** The names that an installation of its own uses. */
@@ -43,11 +39,9 @@
             "Expected-Target",
             "Not-Executed",
             "Answer-Seal",
-            "Model",
             "Token-Counts",
             "Answer-Tokens-Hint",
             "Request-Priority",
             "Reading-Helpers",
-            "Faulty-Target",
             "Last-Event-ID");
 }
--- a/gateway/src/main/java/org/bamboohatch/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/GatewaySettings.java
@@ -20,7 +20,6 @@
  * @param retryReserve repeated sends in each window besides, over all gateways and for each service
  * @param retryWindowMillis window of the retry budget
  * @param stopMillis time from the signal to stop until the process ends
- * @param stallMillis time for which a target holds work that depends on another one that is gone
  */
 public record GatewaySettings(
         @Setting(description = "name of the host") HostName host,
@@ -76,15 +75,7 @@
                 min = 0,
                 max = 600_000,
                 fallback = "30000")
-        long stopMillis,
-
-        @Setting(
-                description = "time for which a target holds work that depends on another one that is gone",
-                unit = "milliseconds",
-                min = 0,
-                max = 60_000,
-                fallback = "1500")
-        long stallMillis) {
+        long stopMillis) {
 
     /** Makes the list immutable. */
     public GatewaySettings {
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Attempt.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Attempt.java
@@ -110,15 +110,6 @@
         return beganAt;
     }
 
-    /**
-     * Returns header fields for the target.
-     *
-     * @return the fields
-     */
-    HttpHeaders headers() {
-        return headers;
-    }
-
     /**
      * Tells whether the attempt was given up.
      *
@@ -128,15 +119,6 @@
         return mode == Mode.OVER;
     }
 
-    /**
-     * Tells whether the request was handed to a connection.
-     *
-     * @return whether the target may have seen it
-     */
-    boolean isSent() {
-        return connection != null;
-    }
-
     /**
      * Sends the request.
      *
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarding.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarding.java
@@ -32,9 +32,6 @@
 /** One admitted request from its admission to the end of its answer. */
 final class Forwarding implements Exchanges.Listener {
 
-    /** Connections that may fail to open before a request is given up. */
-    private static final int MAX_CONNECT_FAILURES = 4;
-
     /** Time after which a caller should ask again when no target could be reached. */
     private static final Duration NO_TARGET_RETRY = Duration.ofMillis(300);
 
@@ -65,9 +62,6 @@
     /** Requests among them that may have run. */
     private int runs;
 
-    /** Connections that could not be opened. */
-    private int connectFailures;
-
     /** The attempt under way, or null. */
     private Attempt current;
 
@@ -211,7 +205,6 @@
         tried.add(attempt.target().target());
         if (connection == null) {
             attempt.cancel();
-            connectFailures++;
             forwarder.targets().failed(attempt.target(), GatewayClock.now());
             forwarder
                     .log(Weight.FAILURE, "unreachable", this)
--- a/gateway/src/main/java/org/bamboohatch/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/http/CallerConnection.java
@@ -12,7 +12,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -475,9 +474,4 @@
             // There is nothing more to send.
         }
     }
-
-    /** Closes the connection after everything that was written. */
-    void closeNow() {
-        context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
-    }
 }
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
@@ -75,8 +75,7 @@
                 0.2,
                 50,
                 10_000,
-                1_000,
-                1_500);
+                1_000);
         forwarder = new Forwarder(settings, Dialect.DEFAULT, loop, this, new LoadBook(), new GatewayMetrics(registry));
         callers = new CallerServer(new InetSocketAddress("127.0.0.1", port), loop, forwarder, () -> LIMITS);
         callers.start();
