A stopping gateway never reads a request and drops it

The commit on stopping closed a connection after the answer that was under way, and read on for 0.3 s to protect that answer; the caller had not been told to close, sent its next request, and that was dropped. Ruled out: the closing of idle connections, which reads nothing.

--- a/gateway/src/main/java/org/bamboohatch/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/http/CallerConnection.java
@@ -387,7 +387,7 @@
                 return;
             }
             var written = context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-            if (closes || server.isStopping()) {
+            if (closes) {
                 closeGently(written);
             } else {
                 nextRequest();
