--- a/replication/src/test/java/org/bamboohatch/replication/simulation/SimulatedClusterTest.java
+++ b/replication/src/test/java/org/bamboohatch/replication/simulation/SimulatedClusterTest.java
@@ -21,6 +21,12 @@
         new SimulatedCluster(seed, 5).run(1_500);
     }
 
+    /** The first seed of the long proof that notices reads answered without the confirmation of a quorum. */
+    @net.jqwik.api.Example
+    void everyReadShowsWhatWasAcknowledgedBefore() throws IOException {
+        new SimulatedCluster(107, 3).run(3_000);
+    }
+
     @net.jqwik.api.Example
     void disksThatLeaveOutSyncsAreNoticed() {
         assertThatThrownBy(() -> {
