--- a/distribution/src/test/java/org/bamboohatch/distribution/PlatformWordsTest.java
+++ b/distribution/src/test/java/org/bamboohatch/distribution/PlatformWordsTest.java
@@ -27,6 +27,8 @@
             "kv_tokens",
             "read_per_s",
             "/instances/",
+            "hold_ms",
+            "\"/order\"",
             "At-Server");
 
     @Test
--- a/gateway/src/main/java/org/bamboohatch/gateway/Dialect.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/Dialect.java
@@ -15,6 +15,8 @@
  * @param priority rank at the target's queue, zero for the most urgent
  * @param helpers addresses of the engines that read a part of the prompt, separated by commas
  * @param lastEventId id of the last event that the caller has; a stream goes on after it
+ * @param faultyTarget address of the engine that an engine depended on in vain, in its refusal
+ * @param memory orders that set memory of an engine aside
  */
 public record Dialect(
         String requestId,
@@ -28,7 +30,9 @@
         String lengthHint,
         String priority,
         String helpers,
-        String lastEventId) {
+        String lastEventId,
+        String faultyTarget,
+        MemoryDialect memory) {
 
     /** The names that an installation of its own uses. */
     public static final Dialect DEFAULT = new Dialect(
@@ -43,5 +47,7 @@
             "Answer-Tokens-Hint",
             "Request-Priority",
             "Reading-Helpers",
-            "Last-Event-ID");
+            "Last-Event-ID",
+            "Faulty-Target",
+            MemoryDialect.Default.INSTANCE);
 }
--- a/gateway/src/main/java/org/bamboohatch/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/GatewaySettings.java
@@ -19,6 +19,7 @@
  * @param retryRatio repeated sends that a request to a service earns, over all gateways
  * @param retryReserve repeated sends in each window besides, over all gateways and for each service
  * @param retryWindowMillis window of the retry budget
+ * @param memoryLeaseMillis time for which an engine keeps memory that was set aside for a prompt
  * @param stopMillis time from the signal to stop until the process ends
  */
 public record GatewaySettings(
@@ -69,6 +70,14 @@
                 fallback = "10000")
         long retryWindowMillis,
 
+        @Setting(
+                description = "time for which an engine keeps memory that was set aside for a prompt",
+                unit = "milliseconds",
+                min = 500,
+                max = 20_000,
+                fallback = "3500")
+        long memoryLeaseMillis,
+
         @Setting(
                 description = "time from the signal to stop until the process ends",
                 unit = "milliseconds",
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Attempt.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Attempt.java
@@ -1,6 +1,5 @@
 package org.bamboohatch.gateway.forward;
 
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
@@ -11,7 +10,6 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.concurrent.Future;
 import org.bamboohatch.gateway.GatewayClock;
-import org.bamboohatch.gateway.load.LoadBook;
 import org.bamboohatch.gateway.target.AnswerListener;
 import org.bamboohatch.gateway.target.TargetAddress;
 import org.bamboohatch.gateway.target.TargetConnection;
@@ -28,14 +26,8 @@
     /** The request. */
     private final Forwarding forwarding;
 
-    /** The target. */
-    private final TargetAddress target;
-
-    /** The work that the request means at its targets. */
-    private final List<LoadBook.Ticket> tickets;
-
-    /** Header fields for the target. */
-    private final HttpHeaders headers;
+    /** The way to the targets. */
+    private final Dispatch dispatch;
 
     /** Time at which the attempt began. */
     private final long beganAt;
@@ -78,16 +70,12 @@
      * Creates an attempt.
      *
      * @param forwarding the request
-     * @param target the target
-     * @param headers header fields for the target
-     * @param tickets the work that the request means at its targets
+     * @param dispatch the way to the targets
      * @param now the present time
      */
-    Attempt(Forwarding forwarding, TargetAddress target, HttpHeaders headers, List<LoadBook.Ticket> tickets, long now) {
+    Attempt(Forwarding forwarding, Dispatch dispatch, long now) {
         this.forwarding = forwarding;
-        this.target = target;
-        this.headers = headers;
-        this.tickets = tickets;
+        this.dispatch = dispatch;
         this.beganAt = now;
         this.heardAt = now;
     }
@@ -98,7 +86,16 @@
      * @return where the target is
      */
     TargetAddress target() {
-        return target;
+        return dispatch.target();
+    }
+
+    /**
+     * Returns the way to the targets.
+     *
+     * @return the way
+     */
+    Dispatch dispatch() {
+        return dispatch;
     }
 
     /**
@@ -123,8 +120,9 @@
      * Sends the request.
      *
      * @param opened the connection
+     * @param headers header fields for the target
      */
-    void send(TargetConnection opened) {
+    void send(TargetConnection opened, HttpHeaders headers) {
         connection = opened;
         heardAt = GatewayClock.now();
         watchSilence();
@@ -157,7 +155,7 @@
     /** Ends the attempt's work at its targets. */
     private void finish() {
         mode = Mode.OVER;
-        tickets.forEach(LoadBook.Ticket::end);
+        dispatch.end();
         kept.release();
         if (watch != null) {
             watch.cancel(false);
@@ -235,7 +233,7 @@
         if (events.length == 0) {
             return;
         }
-        tickets.forEach(LoadBook.Ticket::beginWriting);
+        dispatch.beginWriting();
         forwarding.beginAnswer(this, response, -1);
         pass(Unpooled.wrappedBuffer(events));
     }
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
@@ -1,17 +1,11 @@
 package org.bamboohatch.gateway.forward;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Collectors;
 
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpHeaders;
-import org.bamboohatch.document.fleet.EngineModel;
 import org.bamboohatch.gateway.Dialect;
 import org.bamboohatch.gateway.GatewayClock;
 import org.bamboohatch.gateway.GatewayMetrics;
@@ -27,40 +21,16 @@
 import org.bamboohatch.gateway.target.TargetAddress;
 import org.bamboohatch.gateway.target.TargetPool;
 import org.bamboohatch.kernel.id.ServiceName;
-import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.log.DecisionLog;
 import org.bamboohatch.kernel.log.DecisionLog.Weight;
 import org.bamboohatch.kernel.outcome.ErrorCode;
 import org.bamboohatch.kernel.outcome.Refusal;
 import org.bamboohatch.routing.fleet.Demand;
-import org.bamboohatch.routing.fleet.Placement;
-import org.bamboohatch.routing.fleet.PlacementPolicy;
 import org.bamboohatch.routing.retry.SharedBudget;
 
 /** Forwards requests to targets; used on the thread of all callers only. */
 public final class Forwarder implements Exchanges {
 
-    /** Time for opening a connection to an engine, in milliseconds. */
-    private static final int ENGINE_CONNECT_MS = 700;
-
-    /** Time for opening a connection to a plain service, in milliseconds. */
-    private static final int PLAIN_CONNECT_MS = 250;
-
-    /** Silence within a stream after which its target is given up, in milliseconds. */
-    private static final long STREAM_SILENCE_MS = 1_400;
-
-    /** Silence before the first event after which a target is given up, in milliseconds. */
-    private static final long FIRST_SILENCE_MS = 4_000;
-
-    /** Silence of a plain service in relation to the route's target latency. */
-    private static final double PLAIN_SILENCE_FACTOR = 2;
-
-    /** Rank at an engine's queue of requests whose pauses must be short. */
-    private static final String URGENT = "2";
-
-    /** Rank at an engine's queue of other requests. */
-    private static final String USUAL = "5";
-
     /** Time after which a caller should ask again when this gateway is stopping: another one takes it at once. */
     private static final Duration STOPPING_RETRY = Duration.ofMillis(20);
 
@@ -79,15 +49,12 @@
     /** Decides whether requests are let in. */
     private final RequestGate gate;
 
-    /** Chooses header fields. */
-    private final OutboundHeaders outbound;
+    /** Chooses targets. */
+    private final Dispatcher dispatcher;
 
     /** Connections to targets. */
     private final TargetPool pool;
 
-    /** Work at targets. */
-    private final LoadBook book;
-
     /** The targets. */
     private final Targets targets;
 
@@ -128,11 +95,10 @@
         this.dialect = dialect;
         this.loop = loop;
         this.store = store;
-        this.book = book;
         this.gate = new RequestGate(dialect, settings.freshnessMillis());
-        this.outbound = new OutboundHeaders(dialect);
         this.pool = new TargetPool(loop, dialect.requestId());
         this.targets = new Targets(settings.host(), settings.zone(), book);
+        this.dispatcher = new Dispatcher(settings, dialect, loop, targets, pool, book, log);
     }
 
     /**
@@ -227,123 +193,6 @@
         }
     }
 
-    /**
-     * Chooses targets for a request.
-     *
-     * @param admitted what the admission found
-     * @param demand what the request asks
-     * @param tried targets that it was sent to already
-     * @param now the present time
-     * @return the choice, empty if there is no target
-     */
-    Optional<Placement> place(Admitted admitted, Demand demand, Set<TargetName> tried, long now) {
-        Optional<EngineModel> engine =
-                demand.isGeneration() ? admitted.service().engine() : Optional.empty();
-        return PlacementPolicy.PREDICTED.place(
-                demand, targets.candidates(admitted.service().name(), tried, now), engine);
-    }
-
-    /**
-     * Tells whether there is a target that the request was not sent to yet.
-     *
-     * @param admitted what the admission found
-     * @param tried targets that it was sent to already
-     * @param now the present time
-     * @return whether there is one
-     */
-    boolean hasTarget(Admitted admitted, Set<TargetName> tried, long now) {
-        return !targets.candidates(admitted.service().name(), tried, now).isEmpty();
-    }
-
-    /**
-     * Notes the work of a request at its targets.
-     *
-     * @param admitted what the admission found
-     * @param demand what the request asks
-     * @param placement the targets
-     * @param now the present time
-     * @return the tickets of the work
-     */
-    List<LoadBook.Ticket> register(Admitted admitted, Demand demand, Placement placement, long now) {
-        List<LoadBook.Ticket> tickets = new ArrayList<>();
-        int readers = 1 + placement.helpers().size();
-        double reading = admitted.service()
-                .engine()
-                .map(model -> model.readMillis(demand.promptTokens()) / readers)
-                .orElse(0.0);
-        boolean shortPauses = demand.isTight();
-        tickets.add(book.add(
-                placement.target(), demand.promptTokens(), demand.memoryTokens(), shortPauses, true, reading, now));
-        for (TargetName helper : placement.helpers()) {
-            tickets.add(book.add(helper, demand.promptTokens() / readers, 0, false, false, reading, now));
-        }
-        return tickets;
-    }
-
-    /**
-     * Makes the header fields for a target.
-     *
-     * @param request the request
-     * @param admitted what the admission found
-     * @param demand what the request asks
-     * @param placement the targets
-     * @param leftMillis time that is left for the answer, in milliseconds
-     * @return the fields
-     */
-    HttpHeaders headers(
-            InboundRequest request, Admitted admitted, Demand demand, Placement placement, long leftMillis) {
-        HttpHeaders headers =
-                outbound.request(request, leftMillis, placement.target().value());
-        admitted.account()
-                .ifPresent(
-                        account -> headers.set(dialect.account(), account.name().value()));
-        if (demand.isGeneration()) {
-            headers.set(dialect.priority(), demand.isTight() ? URGENT : USUAL);
-        }
-        if (!placement.helpers().isEmpty()) {
-            String helpers = placement.helpers().stream()
-                    .map(helper -> targets.find(helper).address())
-                    .collect(Collectors.joining(","));
-            headers.set(dialect.helpers(), helpers);
-        }
-        return headers;
-    }
-
-    /**
-     * Makes the header fields for a caller.
-     *
-     * @param answer the target's fields
-     * @return the fields
-     */
-    HttpHeaders answerHeaders(HttpHeaders answer) {
-        return outbound.answer(answer);
-    }
-
-    /**
-     * Returns the time for opening a connection.
-     *
-     * @param demand what the request asks
-     * @return the time in milliseconds
-     */
-    int connectMillis(Demand demand) {
-        return demand.isGeneration() ? ENGINE_CONNECT_MS : PLAIN_CONNECT_MS;
-    }
-
-    /**
-     * Tells for how long a target may be silent.
-     *
-     * @param admitted what the admission found
-     * @param demand what the request asks
-     * @param writing whether events have been coming
-     * @return the time in milliseconds
-     */
-    long silenceMillis(Admitted admitted, Demand demand, boolean writing) {
-        if (!demand.isGeneration()) {
-            return (long) (PLAIN_SILENCE_FACTOR * admitted.route().targetLatencyMillis());
-        }
-        return writing ? STREAM_SILENCE_MS : FIRST_SILENCE_MS;
-    }
-
     /**
      * Returns what the budget of repeated sends allows.
      *
@@ -465,6 +314,15 @@
         return pool;
     }
 
+    /**
+     * Returns what chooses targets.
+     *
+     * @return the dispatcher
+     */
+    Dispatcher dispatcher() {
+        return dispatcher;
+    }
+
     /**
      * Returns the targets.
      *
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarding.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarding.java
@@ -1,10 +1,7 @@
 package org.bamboohatch.gateway.forward;
 
 import java.time.Duration;
-import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoop;
@@ -17,8 +14,6 @@
 import org.bamboohatch.gateway.http.Exchanges;
 import org.bamboohatch.gateway.http.InboundRequest;
 import org.bamboohatch.gateway.http.Responder;
-import org.bamboohatch.gateway.load.LoadBook;
-import org.bamboohatch.gateway.target.TargetAddress;
 import org.bamboohatch.gateway.target.TargetConnection;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.log.DecisionLog;
@@ -27,7 +22,6 @@
 import org.bamboohatch.kernel.outcome.Refusal;
 import org.bamboohatch.kernel.outcome.RunOutcome;
 import org.bamboohatch.routing.fleet.Demand;
-import org.bamboohatch.routing.fleet.Placement;
 
 /** One admitted request from its admission to the end of its answer. */
 final class Forwarding implements Exchanges.Listener {
@@ -53,14 +47,8 @@
     /** Cuts the stream of the answer. */
     private final EventCutter cutter = new EventCutter();
 
-    /** Targets that the request was sent to, or that could not be reached. */
-    private final Set<TargetName> tried = new HashSet<>();
-
-    /** Requests that were handed to a connection. */
-    private int sends;
-
-    /** Requests among them that may have run. */
-    private int runs;
+    /** What was tried so far. */
+    private final Tries tries = new Tries();
 
     /** The attempt under way, or null. */
     private Attempt current;
@@ -158,35 +146,52 @@
     /** Sends the request to the target that suits it best now. */
     private void dispatch() {
         long now = GatewayClock.now();
-        Optional<Placement> placement = forwarder.place(admitted, demand, tried, now);
-        if (placement.isEmpty()) {
+        Optional<Dispatch> chosen = forwarder.dispatcher().choose(admitted, demand, tries.leftOut(), now);
+        if (chosen.isEmpty()) {
             giveUp(now, "no target left");
             return;
         }
-        TargetAddress target = forwarder.targets().find(placement.get().target());
-        long left = admitted.deadline() - now;
-        HttpHeaders headers = forwarder.headers(request, admitted, demand, placement.get(), left);
-        cutter.lastId().ifPresent(id -> headers.set(dialect().lastEventId(), id));
-        List<LoadBook.Ticket> tickets = forwarder.register(admitted, demand, placement.get(), now);
-        Attempt attempt = new Attempt(this, target, headers, tickets, now);
+        Dispatch dispatch = chosen.get();
+        Attempt attempt = new Attempt(this, dispatch, now);
         current = attempt;
         forwarder
                 .log(Weight.ROUTINE, "placed", this)
-                .with("target", target.target())
-                .with("predictedMs", Math.round(placement.get().firstMillis()))
-                .with("helpers", placement.get().helpers().size())
-                .with("send", sends + 1)
-                .with("leftMs", left)
+                .with("target", dispatch.target().target())
+                .with("predictedMs", Math.round(dispatch.placement().firstMillis()))
+                .with("helpers", dispatch.placement().helpers())
+                .with("holders", dispatch.placement().holdings().size())
+                .with("send", tries.sends() + 1)
+                .with("leftMs", admitted.deadline() - now)
                 .write();
-        int connectMillis = (int) Math.max(1, Math.min(forwarder.connectMillis(demand), left));
+        dispatch.memory().take(without -> onMemory(attempt, without));
+    }
+
+    /**
+     * Opens a connection for an attempt once memory was set aside for it.
+     *
+     * @param attempt the attempt
+     * @param without an engine that had no memory for its part, empty if all had
+     */
+    private void onMemory(Attempt attempt, Optional<TargetName> without) {
+        if (attempt.isOver()) {
+            return;
+        }
+        long now = GatewayClock.now();
+        if (without.isPresent()) {
+            attempt.cancel();
+            if (tries.withoutMemory(without.get())) {
+                dispatch();
+            } else {
+                giveUp(now, "no memory at " + without.get());
+            }
+            return;
+        }
+        long left = Math.max(1, admitted.deadline() - now);
+        int connectMillis = (int) Math.min(forwarder.dispatcher().connectMillis(demand), left);
+        boolean careful = !admitted.route().mayRepeat();
         forwarder
                 .pool()
-                .acquire(
-                        target,
-                        !admitted.route().mayRepeat(),
-                        connectMillis,
-                        now,
-                        connection -> opened(attempt, connection));
+                .acquire(attempt.target(), careful, connectMillis, now, connection -> opened(attempt, connection));
     }
 
     /**
@@ -202,7 +207,7 @@
             }
             return;
         }
-        tried.add(attempt.target().target());
+        tries.leaveOut(attempt.target().target());
         if (connection == null) {
             attempt.cancel();
             forwarder.targets().failed(attempt.target(), GatewayClock.now());
@@ -213,10 +218,12 @@
             dispatch();
             return;
         }
-        sends++;
-        runs++;
+        tries.sent();
         forwarder.targets().dispatched(attempt.target());
-        attempt.send(connection);
+        long left = admitted.deadline() - GatewayClock.now();
+        HttpHeaders headers = forwarder.dispatcher().headers(request, admitted, demand, attempt.dispatch(), left);
+        cutter.lastId().ifPresent(id -> headers.set(dialect().lastEventId(), id));
+        attempt.send(connection, headers);
     }
 
     /**
@@ -227,15 +234,19 @@
      */
     void onNotExecuted(Attempt attempt, HttpResponse head) {
         long now = GatewayClock.now();
-        runs--;
-        boolean misdirected = head.status().code() == TargetStatus.MISDIRECTED;
-        if (misdirected) {
+        tries.notRun();
+        String faulty = head.headers().get(dialect().faultyTarget(), "");
+        Optional<TargetName> named =
+                forwarder.targets().failedAt(admitted.service().name(), faulty, now);
+        named.ifPresent(tries::leaveOut);
+        if (named.isEmpty() && head.status().code() == TargetStatus.MISDIRECTED) {
             forwarder.targets().failed(attempt.target(), now);
         }
         forwarder
                 .log(Weight.FAILURE, "not-executed", this)
                 .with("target", attempt.target().target())
                 .with("status", head.status().code())
+                .with("faulty", faulty)
                 .write();
         if (over) {
             return;
@@ -327,7 +338,7 @@
      * @return the time in milliseconds
      */
     long silenceMillis(Attempt attempt, boolean writing) {
-        return forwarder.silenceMillis(admitted, demand, writing);
+        return Patience.silenceMillis(demand, attempt.dispatch().placement(), writing);
     }
 
     /**
@@ -347,10 +358,10 @@
      * @return whether attempts, time and budget are left
      */
     private boolean mayTakeBudget(long now) {
-        return sends < admitted.route().maximumAttempts()
+        return tries.sends() < admitted.route().maximumAttempts()
                 && now < admitted.deadline()
                 && forwarder.hasBudget(admitted, now)
-                && forwarder.hasTarget(admitted, tried, now);
+                && forwarder.dispatcher().hasTarget(admitted, tries.leftOut(), now);
     }
 
     /**
@@ -366,7 +377,7 @@
         }
         answering = true;
         firstAfter = GatewayClock.now() - request.arrivedAt();
-        responder.head(head.status(), forwarder.answerHeaders(head.headers()), length);
+        responder.head(head.status(), forwarder.dispatcher().answerHeaders(head.headers()), length);
         forwarder.onFirst(this, attempt, GatewayClock.now());
     }
 
@@ -400,7 +411,7 @@
         if (answering) {
             responder.abort();
             finish("aborted", Weight.FAILURE, reason);
-        } else if (runs > 0) {
+        } else if (tries.mayHaveRun()) {
             boolean late = now >= admitted.deadline();
             ErrorCode code = late ? ErrorCode.DEADLINE_EXCEEDED : ErrorCode.TARGET_FAILED;
             responder.refuse(Refusal.notRun(code, "No answer of a target: " + reason + ".")
@@ -455,7 +466,7 @@
         forwarder
                 .log(weight, event, this)
                 .with("detail", detail)
-                .with("sends", sends)
+                .with("sends", tries.sends())
                 .with("events", cutter.events())
                 .with("firstMs", firstAfter)
                 .with("longestPauseMs", cutter.longestPause())
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Targets.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Targets.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import com.dynatrace.hash4j.hashing.Hashing;
@@ -90,6 +91,16 @@
         return address(view.targets().get(name));
     }
 
+    /**
+     * Tells whether a target is known.
+     *
+     * @param name its name
+     * @return whether it is a member
+     */
+    boolean isKnown(TargetName name) {
+        return view.targets().containsKey(name);
+    }
+
     /**
      * Lists the targets that a request may be sent to. If all are left out for their failures, none is.
      *
@@ -162,6 +173,25 @@
         health.computeIfPresent(target, (address, present) -> present.succeeded());
     }
 
+    /**
+     * Takes note of a failure that another target tells of.
+     *
+     * @param service the service of both
+     * @param address address or name of the target at fault
+     * @param now the present time
+     * @return the target at fault, empty if none is known there
+     */
+    Optional<TargetName> failedAt(ServiceName service, String address, long now) {
+        return view.targetsOf(service).stream()
+                .filter(target -> target.address().equals(address)
+                        || target.target().value().equals(address))
+                .findFirst()
+                .map(target -> {
+                    failed(address(target), now);
+                    return target.target();
+                });
+    }
+
     /**
      * Takes note of a failure.
      *
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/GatewayLoad.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/GatewayLoad.java
@@ -31,7 +31,7 @@
      * @param writers requests among them that write their answer
      * @param shortWriters requests among them whose pauses must be short
      * @param contextTokens prompt tokens of the writers
-     * @param readMillis time that the target still needs to read prompts, in milliseconds
+     * @param readMillis time that the target needs for the reading given to it since the last report, in milliseconds
      * @param heldTokens memory that the requests need, in tokens
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/LoadBook.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/LoadBook.java
@@ -14,15 +14,18 @@
     /** Age after which another gateway's report counts no more, in milliseconds. */
     private static final long REPORT_LIFETIME_MS = 3_000;
 
-    /** Part of a prompt that is taken to be unread as long as its answer has not begun. */
-    private static final double LATE_SHARE = 0.1;
-
     /** This gateway's requests by target. */
     private final Map<TargetName, Set<Ticket>> own = new HashMap<>();
 
     /** What other gateways have told, by gateway and target. */
     private final Map<String, Map<TargetName, Report>> others = new HashMap<>();
 
+    /** Time at which each target will have read all parts that any gateway has sent there. */
+    private final Map<TargetName, Double> readUntil = new HashMap<>();
+
+    /** Reading that this gateway has given to targets since its last report, in milliseconds. */
+    private final Map<TargetName, Double> given = new HashMap<>();
+
     /** Targets whose work changed since the last report. */
     private final Set<TargetName> changed = new HashSet<>();
 
@@ -55,12 +58,6 @@
         /** Whether the target answers, rather than reads for another one. */
         private final boolean answers;
 
-        /** Time that the target needs to read the prompt, in milliseconds. */
-        private final double readMillis;
-
-        /** Time at which the prompt will have been read as predicted. */
-        private final double readUntil;
-
         /** Whether the answer is being written. */
         private boolean writing;
 
@@ -72,24 +69,13 @@
          * @param heldTokens memory that the request needs, in tokens
          * @param shortPauses whether pauses of the answer must be short
          * @param answers whether the target answers, rather than reads for another one
-         * @param readMillis time that the target needs to read the prompt, in milliseconds
-         * @param readUntil time at which the prompt will have been read as predicted
          */
-        private Ticket(
-                TargetName target,
-                long promptTokens,
-                double heldTokens,
-                boolean shortPauses,
-                boolean answers,
-                double readMillis,
-                double readUntil) {
+        private Ticket(TargetName target, long promptTokens, double heldTokens, boolean shortPauses, boolean answers) {
             this.target = target;
             this.promptTokens = promptTokens;
             this.heldTokens = heldTokens;
             this.shortPauses = shortPauses;
             this.answers = answers;
-            this.readMillis = readMillis;
-            this.readUntil = readUntil;
         }
 
         /** Takes note that the answer has begun. */
@@ -112,19 +98,12 @@
         /**
          * Describes the request as work.
          *
-         * @param now the present time
-         * @return the work
+         * @return the work, without what the target still has to read
          */
-        private Workload work(long now) {
-            double reading = writing ? 0 : Math.max(readMillis * LATE_SHARE, Math.min(readMillis, readUntil - now));
+        private Workload work() {
             int writer = answers ? 1 : 0;
             return new Workload(
-                    writer,
-                    writing ? writer : 0,
-                    shortPauses ? writer : 0,
-                    writing ? promptTokens : 0,
-                    reading,
-                    heldTokens);
+                    writer, writing ? writer : 0, shortPauses ? writer : 0, writing ? promptTokens : 0, 0, heldTokens);
         }
     }
 
@@ -148,14 +127,26 @@
             boolean answers,
             double readMillis,
             long now) {
-        double begins = now + load(target, now).readMillis();
-        Ticket ticket =
-                new Ticket(target, promptTokens, heldTokens, shortPauses, answers, readMillis, begins + readMillis);
+        Ticket ticket = new Ticket(target, promptTokens, heldTokens, shortPauses, answers);
+        read(target, readMillis, now);
+        given.merge(target, readMillis, Double::sum);
         own.computeIfAbsent(target, added -> new HashSet<>()).add(ticket);
         changed.add(target);
         return ticket;
     }
 
+    /**
+     * Takes note of reading that was given to a target. A target reads all that it has without a break, in whatever
+     * order, so what is left to read follows from the sum.
+     *
+     * @param target the target
+     * @param millis time that the target needs for it, in milliseconds
+     * @param now the present time
+     */
+    private void read(TargetName target, double millis, long now) {
+        readUntil.merge(target, now + millis, (until, alone) -> Math.max(until, now) + millis);
+    }
+
     /**
      * Adds up the work at a target.
      *
@@ -164,27 +155,26 @@
      * @return the work that all gateways have there
      */
     public Workload load(TargetName target, long now) {
-        Workload sum = own(target, now);
+        Workload sum = own(target);
         for (Map<TargetName, Report> reports : others.values()) {
             Report report = reports.get(target);
             if (report != null && now - report.at() < REPORT_LIFETIME_MS) {
-                sum = sum.plus(report.work().after(now - report.at()));
+                sum = sum.plus(report.work());
             }
         }
-        return sum;
+        return sum.reading(Math.max(0, readUntil.getOrDefault(target, 0.0) - now));
     }
 
     /**
      * Adds up this gateway's own work at a target.
      *
      * @param target the target
-     * @param now the present time
-     * @return the work
+     * @return the work, without what the target still has to read
      */
-    public Workload own(TargetName target, long now) {
+    private Workload own(TargetName target) {
         Workload sum = Workload.NONE;
         for (Ticket ticket : own.getOrDefault(target, Set.of())) {
-            sum = sum.plus(ticket.work(now));
+            sum = sum.plus(ticket.work());
         }
         return sum;
     }
@@ -193,7 +183,7 @@
      * Takes what another gateway tells.
      *
      * @param gateway the gateway
-     * @param work its work by target
+     * @param work its work by target; the time for reading is what it has given there since its last report
      * @param whole whether it has no work at targets that are not named
      * @param now the present time
      */
@@ -202,24 +192,48 @@
         if (whole) {
             reports.clear();
         }
-        work.forEach((target, load) -> reports.put(target, new Report(load, now)));
+        work.forEach((target, load) -> {
+            read(target, load.readMillis(), now);
+            reports.put(target, new Report(load.reading(0), now));
+        });
+        readUntil.values().removeIf(until -> until < now);
     }
 
     /**
      * Lists this gateway's work for a report.
      *
-     * @param whole whether all of it is listed, or what changed since the last list
-     * @param now the present time
-     * @return the work by target
+     * @return the lists
      */
-    public Map<TargetName, Workload> drain(boolean whole, long now) {
-        Map<TargetName, Workload> work = new HashMap<>();
-        Set<TargetName> listed = whole ? own.keySet() : changed;
-        listed.forEach(target -> work.put(target, own(target, now)));
+    public Drained drain() {
+        Map<TargetName, Workload> changes = describe(changed);
+        Set<TargetName> all = new HashSet<>(own.keySet());
+        all.addAll(changed);
+        Map<TargetName, Workload> whole = describe(all);
         changed.clear();
+        given.clear();
+        return new Drained(changes, whole);
+    }
+
+    /**
+     * Describes work for a report.
+     *
+     * @param targets the targets
+     * @return the work by target; the time for reading is what was given there since the last report
+     */
+    private Map<TargetName, Workload> describe(Set<TargetName> targets) {
+        Map<TargetName, Workload> work = new HashMap<>();
+        targets.forEach(target -> work.put(target, own(target).reading(given.getOrDefault(target, 0.0))));
         return work;
     }
 
+    /**
+     * This gateway's work for a report.
+     *
+     * @param changes what changed since the last report
+     * @param whole all of it
+     */
+    public record Drained(Map<TargetName, Workload> changes, Map<TargetName, Workload> whole) {}
+
     /**
      * Tells whether there is something to report.
      *
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
@@ -126,9 +126,9 @@
         if (!wholeDue && !book.hasChanges()) {
             return;
         }
-        long now = GatewayClock.now();
-        GatewayLoad whole = wholeDue ? report(true, now) : null;
-        GatewayLoad changes = wholeDue ? whole : report(false, now);
+        LoadBook.Drained drained = book.drain();
+        GatewayLoad whole = report(true, drained.whole());
+        GatewayLoad changes = wholeDue ? whole : report(false, drained.changes());
         for (Peer peer : peers.values()) {
             CompletableFuture<Connection> connecting = peer.link.connect();
             if (!connecting.isDone() || connecting.isCompletedExceptionally()) {
@@ -136,9 +136,6 @@
             }
             Connection connection = connecting.join();
             boolean fresh = connection != peer.informed;
-            if (fresh && whole == null) {
-                whole = report(true, now);
-            }
             peer.informed = connection;
             connection.tell(fresh ? whole : changes);
         }
@@ -148,13 +145,13 @@
      * Makes a report.
      *
      * @param whole whether all work is told, or what changed
-     * @param now the present time
+     * @param work the work by target
      * @return the report
      */
-    private GatewayLoad report(boolean whole, long now) {
-        List<GatewayLoad.TargetWork> work = book.drain(whole, now).entrySet().stream()
+    private GatewayLoad report(boolean whole, Map<TargetName, Workload> work) {
+        List<GatewayLoad.TargetWork> targets = work.entrySet().stream()
                 .map(target -> GatewayLoad.TargetWork.of(target.getKey(), target.getValue()))
                 .toList();
-        return new GatewayLoad(settings.host().value(), whole, work);
+        return new GatewayLoad(settings.host().value(), whole, targets);
     }
 }
--- a/gateway/src/main/java/org/bamboohatch/gateway/target/TargetConnection.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/TargetConnection.java
@@ -133,7 +133,7 @@
      * @param answers hears the answer
      */
     public void send(HttpMethod method, String uri, HttpHeaders headers, byte[] body, AnswerListener answers) {
-        used = expectedId != null;
+        used = written != null;
         listener = answers;
         expectedId = headers.get(requestIdField);
         skipping = false;
@@ -212,8 +212,7 @@
             return;
         }
         String id = response.headers().get(requestIdField);
-        skipping = (id == null ? used : !id.equals(expectedId))
-                || response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        skipping = isForeign(id) || response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         if (skipping) {
             return;
         }
@@ -224,6 +223,20 @@
         listener.onHead(response);
     }
 
+    /**
+     * Tells whether an answer belongs to an earlier request. One without an id can only be told to be the right one if
+     * it is the first of the connection; the answer to an order, which has no id either, is the one without an id.
+     *
+     * @param id id that the answer repeats, or null
+     * @return whether it is not the answer to the request under way
+     */
+    private boolean isForeign(String id) {
+        if (expectedId == null) {
+            return id != null;
+        }
+        return id == null ? used : !id.equals(expectedId);
+    }
+
     /**
      * Reads for how long the target keeps an idle connection.
      *
--- a/gateway/src/test/java/org/bamboohatch/gateway/configuration/FleetStoreTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/configuration/FleetStoreTest.java
@@ -69,6 +69,7 @@
                 0.2,
                 50,
                 10_000,
+                3_500,
                 1_000);
         ControlClient control = new ControlClient(network, List.of(address), Duration.ofSeconds(5));
         FleetStore store = new FleetStore(settings, control, network, () -> List.of(address));
--- /dev/null
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/PatienceTest.java
@@ -0,0 +1,44 @@
+package org.bamboohatch.gateway.forward;
+
+import java.util.List;
+
+import org.bamboohatch.kernel.id.TargetName;
+import org.bamboohatch.routing.fleet.Demand;
+import org.bamboohatch.routing.fleet.Placement;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class PatienceTest {
+
+    private static final Demand SHORT = new Demand(5_000, 1_600, 300, 250);
+
+    private static final Demand REVIEW = new Demand(154_000, 800, 3_000, 1_000);
+
+    private static Placement predicted(double millis) {
+        return new Placement(new TargetName("engine-a"), List.of(), List.of(), millis);
+    }
+
+    @Test
+    void aShortStreamIsSentElsewhereBeforeItsCallerLeaves() {
+        assertThat(Patience.silenceMillis(SHORT, predicted(100), false)).isBetween(1_000L, 1_500L);
+        assertThat(Patience.silenceMillis(SHORT, predicted(100), true)).isBetween(1_000L, 1_500L);
+    }
+
+    @Test
+    void aReviewIsWaitedForThreeTimesAsLongAsPredicted() {
+        assertThat(Patience.silenceMillis(REVIEW, predicted(3_200), false)).isEqualTo(10_600);
+        assertThat(Patience.silenceMillis(REVIEW, predicted(400), false)).isEqualTo(6_000);
+    }
+
+    @Test
+    void pausesOfAReviewMayBeAsLongAsAnotherPromptIsRead() {
+        assertThat(Patience.silenceMillis(REVIEW, predicted(400), true)).isBetween(4_000L, 6_000L);
+    }
+
+    @Test
+    void aPlainServiceIsGivenTwiceItsTime() {
+        assertThat(Patience.silenceMillis(new Demand(0, 0, 120, 0), predicted(0), false))
+                .isEqualTo(240);
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/bamboohatch/gateway/load/LoadBookTest.java
@@ -0,0 +1,81 @@
+package org.bamboohatch.gateway.load;
+
+import java.util.Map;
+
+import org.bamboohatch.kernel.id.TargetName;
+import org.bamboohatch.routing.fleet.Workload;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class LoadBookTest {
+
+    private static final TargetName ENGINE = new TargetName("engine-a");
+
+    private final LoadBook first = new LoadBook();
+
+    private final LoadBook second = new LoadBook();
+
+    private static LoadBook.Ticket read(LoadBook book, double millis, long now) {
+        return book.add(ENGINE, 100_000, 101_000, false, true, millis, now);
+    }
+
+    private static void tell(LoadBook from, LoadBook to, long now) {
+        to.report("other", from.drain().changes(), false, now);
+    }
+
+    @Test
+    void whatSeveralGatewaysGiveAnEngineIsReadOneAfterTheOther() {
+        read(first, 300, 0);
+        read(second, 300, 0);
+        tell(second, first, 0);
+        assertThat(first.load(ENGINE, 0).readMillis()).isEqualTo(600);
+        assertThat(first.load(ENGINE, 300).readMillis()).isEqualTo(300);
+        assertThat(first.load(ENGINE, 600).readMillis()).isZero();
+    }
+
+    @Test
+    void anEngineThatHasReadAllBeginsAnew() {
+        read(first, 300, 0);
+        read(first, 100, 1_000);
+        assertThat(first.load(ENGINE, 1_000).readMillis()).isEqualTo(100);
+    }
+
+    @Test
+    void readingIsToldOnce() {
+        read(second, 300, 0);
+        tell(second, first, 0);
+        first.report("other", second.drain().whole(), true, 100);
+        assertThat(first.load(ENGINE, 100).readMillis()).isEqualTo(200);
+        assertThat(first.load(ENGINE, 100).runs()).isEqualTo(1);
+    }
+
+    @Test
+    void aRequestThatEndsIsToldToo() {
+        LoadBook.Ticket ticket = read(second, 300, 0);
+        tell(second, first, 0);
+        ticket.beginWriting();
+        tell(second, first, 50);
+        assertThat(first.load(ENGINE, 50).writers()).isEqualTo(1);
+        ticket.end();
+        tell(second, first, 100);
+        assertThat(first.load(ENGINE, 100).runs()).isZero();
+        assertThat(first.load(ENGINE, 100).heldTokens()).isZero();
+    }
+
+    @Test
+    void aWholeReportReplacesWhatWasToldBefore() {
+        read(second, 300, 0);
+        tell(second, first, 0);
+        first.report("other", Map.of(), true, 10);
+        assertThat(first.load(ENGINE, 10).runs()).isZero();
+    }
+
+    @Test
+    void anOldReportCountsNoMore() {
+        Workload work = new Workload(3, 3, 3, 0, 0, 0);
+        first.report("other", Map.of(ENGINE, work), true, 0);
+        assertThat(first.load(ENGINE, 2_900).runs()).isEqualTo(3);
+        assertThat(first.load(ENGINE, 3_100).runs()).isZero();
+    }
+}
--- a/routing/src/main/java/org/bamboohatch/routing/fleet/EnginePlacement.java
+++ b/routing/src/main/java/org/bamboohatch/routing/fleet/EnginePlacement.java
@@ -40,7 +40,7 @@
     private static final double SPREAD_MILLIS = 80;
 
     /** Engines that read one prompt at most, the answering one included. */
-    private static final int MAX_READERS = 16;
+    private static final int MAX_READERS = 17;
 
     /** Time up to which one engine reads a part, in milliseconds: streams with longer pauses are not disturbed then. */
     private static final double PART_MILLIS = 300;
@@ -51,12 +51,27 @@
     /** Weight of a first event that is in time, but later than another one would be. */
     private static final double EARLY_WEIGHT = 0.2;
 
+    /** Weight of a first event that is late anyway: more engines would be taken from others for little. */
+    private static final double LOST_WEIGHT = 0.3;
+
     /** Weight of a first event that is later than planned for. */
     private static final double LATE_WEIGHT = 4;
 
     /** Part of the longest timely pause that the reading of a pass may fill without harm. */
     private static final double CALM_SHARE = 0.6;
 
+    /** Part of an engine's memory up to which it holds a part of a prompt: large parts slow down each step. */
+    private static final double HOLDING_SHARE = 0.5;
+
+    /** Engines that hold parts of one prompt at most; each one must set memory aside before the prompt is sent. */
+    private static final int MAX_HOLDERS = 8;
+
+    /** Reading that waits at an engine above which it counts as busy with another prompt, in milliseconds. */
+    private static final double BUSY_MILLIS = 10;
+
+    /** Weight of the time for which a part holds up another prompt: an engine reads the newest part first. */
+    private static final double HOLD_UP_WEIGHT = 4;
+
     /** Cost of each further reader, in milliseconds: each one may fail and hold up the others. */
     private static final double READER_MILLIS = 8;
 
@@ -93,6 +108,9 @@
         /** Time of a pass that reads what waits at the engine, in milliseconds. */
         private final double passMillis;
 
+        /** Whether the engine reads a part of another prompt. */
+        private final boolean busy;
+
         /** What speaks against the engine if it reads a part of usual size, in milliseconds. */
         private final double cost;
 
@@ -105,9 +123,14 @@
             Workload load = candidate.load();
             double idlePass = EnginePlacement.this.passMillis(load);
             this.candidate = candidate;
+            this.busy = load.readMillis() > BUSY_MILLIS;
             this.waitMillis = candidate.pace() * (load.readMillis() + idlePass / 2);
             this.passMillis = candidate.pace() * (load.readMillis() + idlePass);
-            this.cost = waitMillis + harm(Math.min(readMillis, PART_MILLIS)) + candidate.affinity() * SPREAD_MILLIS;
+            double usualPart = Math.min(readMillis, PART_MILLIS);
+            this.cost = waitMillis
+                    + harm(usualPart)
+                    + (busy ? HOLD_UP_WEIGHT * usualPart : 0)
+                    + candidate.affinity() * SPREAD_MILLIS;
         }
 
         /**
@@ -134,9 +157,18 @@
     Optional<Placement> place(List<Candidate> candidates) {
         List<Candidate> fitting = candidates.stream().filter(this::hasMemory).toList();
         if (fitting.isEmpty()) {
-            return Optional.empty();
+            return isShort() ? Optional.empty() : divided(candidates);
         }
-        return demand.isTight() && readMillis < PART_MILLIS ? alone(fitting) : together(fitting, candidates);
+        return isShort() ? alone(fitting) : whole(fitting, candidates);
+    }
+
+    /**
+     * Tells whether one engine reads and writes the request.
+     *
+     * @return whether the prompt is small and the pauses of its answer must be short
+     */
+    private boolean isShort() {
+        return demand.isTight() && readMillis < PART_MILLIS;
     }
 
     /**
@@ -146,7 +178,45 @@
      * @return whether it has, as far as is known
      */
     private boolean hasMemory(Candidate candidate) {
-        return candidate.load().heldTokens() + demand.memoryTokens() <= engine.memoryTokens();
+        return hasMemory(candidate, demand.memoryTokens());
+    }
+
+    /**
+     * Tells whether an engine has memory.
+     *
+     * @param candidate the engine
+     * @param tokens memory that is needed, in tokens
+     * @return whether it has, as far as is known
+     */
+    private boolean hasMemory(Candidate candidate, double tokens) {
+        return candidate.load().heldTokens() + tokens <= engine.memoryTokens();
+    }
+
+    /**
+     * Places a prompt that no engine has memory for at several engines, each of which holds an even part of it.
+     *
+     * @param candidates the engines
+     * @return the choice, empty if too few engines have memory for a part
+     */
+    private Optional<Placement> divided(List<Candidate> candidates) {
+        double usual = HOLDING_SHARE * engine.memoryTokens();
+        int fewest = Math.max(2, (int) Math.ceil(demand.memoryTokens() / usual));
+        for (int holders = fewest; holders <= MAX_HOLDERS; holders++) {
+            long share = (demand.memoryTokens() + holders - 1) / holders;
+            List<Candidate> able = candidates.stream()
+                    .filter(candidate -> hasMemory(candidate, share))
+                    .sorted(Comparator.comparingDouble(this::writerCost).thenComparing(Candidate::name))
+                    .limit(holders)
+                    .toList();
+            if (able.size() == holders) {
+                List<Placement.Holding> holdings = able.stream()
+                        .skip(1)
+                        .map(holder -> new Placement.Holding(holder.name(), share))
+                        .toList();
+                return Optional.of(together(able, holdings, candidates));
+            }
+        }
+        return Optional.empty();
     }
 
     /**
@@ -158,7 +228,7 @@
     private Optional<Placement> alone(List<Candidate> candidates) {
         return candidates.stream()
                 .min(Comparator.comparingDouble(this::aloneCost).thenComparing(Candidate::name))
-                .map(candidate -> new Placement(candidate.name(), List.of(), firstMillis(candidate)));
+                .map(candidate -> Placement.alone(candidate.name(), firstMillis(candidate)));
     }
 
     /**
@@ -205,20 +275,32 @@
     }
 
     /**
-     * Places a long prompt at one or several engines.
+     * Places a long prompt at one engine that holds all of it, and chooses those that help to read it.
      *
      * @param fitting engines that have memory for the request
      * @param candidates all engines
      * @return the choice with the least cost
      */
-    private Optional<Placement> together(List<Candidate> fitting, List<Candidate> candidates) {
+    private Optional<Placement> whole(List<Candidate> fitting, List<Candidate> candidates) {
         Candidate first = fitting.stream()
                 .min(Comparator.comparingDouble(this::writerCost).thenComparing(Candidate::name))
                 .orElseThrow();
-        List<Reader> readers = new ArrayList<>();
-        readers.add(new Reader(first));
+        return Optional.of(together(List.of(first), List.of(), candidates));
+    }
+
+    /**
+     * Chooses the engines that help to read a long prompt.
+     *
+     * @param given engines that read it in any case, the answering one first
+     * @param holdings memory that is set aside at the others among them
+     * @param candidates all engines
+     * @return the choice with the least cost
+     */
+    private Placement together(List<Candidate> given, List<Placement.Holding> holdings, List<Candidate> candidates) {
+        Candidate first = given.get(0);
+        List<Reader> readers = new ArrayList<>(given.stream().map(Reader::new).toList());
         candidates.stream()
-                .filter(candidate -> !candidate.name().equals(first.name()))
+                .filter(candidate -> !given.contains(candidate))
                 .map(Reader::new)
                 .sorted(Comparator.comparingDouble((Reader reader) -> reader.cost)
                         .thenComparing(reader -> reader.candidate.name()))
@@ -229,6 +311,9 @@
         double latest = 0;
         for (int count = 1; count <= Math.min(MAX_READERS, readers.size()); count++) {
             latest = Math.max(latest, readers.get(count - 1).waitMillis);
+            if (count < given.size()) {
+                continue;
+            }
             double part = readMillis / count;
             double firstEvent = latest + part + passMillis(first.load());
             double cost = cost(firstEvent, part, readers.subList(0, count));
@@ -241,7 +326,7 @@
         List<TargetName> helpers = readers.subList(1, best).stream()
                 .map(reader -> reader.candidate.name())
                 .toList();
-        return Optional.of(new Placement(first.name(), helpers, bestFirst));
+        return new Placement(first.name(), helpers, holdings, bestFirst);
     }
 
     /**
@@ -253,11 +338,16 @@
      * @return what speaks against the choice
      */
     private double cost(double firstEvent, double part, List<Reader> readers) {
-        double lateness = Math.max(0, firstEvent - demand.targetLatencyMillis() * TIMELY_SHARE);
+        double target = demand.targetLatencyMillis();
+        double lateness = Math.max(0, Math.min(firstEvent, target) - target * TIMELY_SHARE);
+        double lost = Math.max(0, firstEvent - target);
         double harm = readers.stream().mapToDouble(reader -> reader.harm(part)).sum();
+        boolean holdsUp = readers.stream().anyMatch(reader -> reader.busy);
         return firstEvent * EARLY_WEIGHT
                 + lateness * LATE_WEIGHT
+                + lost * LOST_WEIGHT
                 + harm
+                + (holdsUp ? HOLD_UP_WEIGHT * part : 0)
                 + readers.size() * READER_MILLIS
                 + Math.max(0, part - PART_MILLIS);
     }
@@ -272,6 +362,7 @@
         Workload load = candidate.load();
         double memory = load.heldTokens() / engine.memoryTokens();
         double full = load.runs() >= candidate.slots() ? FULL_PENALTY_MILLIS : 0;
-        return new Reader(candidate).cost + memory * DISTURBED_MILLIS + full;
+        double paused = load.readMillis() > CALM_SHARE * demand.maximumGapMillis() ? DISTURBED_LONG_MILLIS : 0;
+        return new Reader(candidate).cost + memory * DISTURBED_MILLIS + full + paused;
     }
 }
--- a/routing/src/main/java/org/bamboohatch/routing/fleet/PlacementPolicy.java
+++ b/routing/src/main/java/org/bamboohatch/routing/fleet/PlacementPolicy.java
@@ -16,7 +16,7 @@
                     .min(Comparator.comparingDouble(PlacementPolicy::occupancy)
                             .thenComparing(candidate -> !candidate.sameZone())
                             .thenComparing(Candidate::name))
-                    .map(candidate -> new Placement(candidate.name(), List.of(), 0));
+                    .map(candidate -> Placement.alone(candidate.name(), 0));
         }
     },
     /** The targets at which the first event is predicted to come soonest, with as little harm as possible to others. */
--- a/routing/src/main/java/org/bamboohatch/routing/fleet/Workload.java
+++ b/routing/src/main/java/org/bamboohatch/routing/fleet/Workload.java
@@ -33,13 +33,12 @@
     }
 
     /**
-     * Takes off the reading that was done meanwhile.
+     * Sets what is left to read.
      *
-     * @param elapsedMillis time since the work was told, in milliseconds
-     * @return what is left
+     * @param millis time that the target still needs to read prompts, in milliseconds
+     * @return the work with it
      */
-    public Workload after(double elapsedMillis) {
-        return new Workload(
-                runs, writers, shortWriters, contextTokens, Math.max(0, readMillis - elapsedMillis), heldTokens);
+    public Workload reading(double millis) {
+        return new Workload(runs, writers, shortWriters, contextTokens, millis, heldTokens);
     }
 }
