--- a/entry/src/main/java/org/bamboohatch/entry/dispatch/RequestPlacer.java
+++ b/entry/src/main/java/org/bamboohatch/entry/dispatch/RequestPlacer.java
@@ -131,7 +131,8 @@
                         priority,
                         waiting.lengthClass().isLong(),
                         false,
-                        false));
+                        false),
+                now);
         events.record(request, "dispatched", name + " " + attempt);
         new Attempt(dispatcher, request, attempt, target, pool).begin(dispatch);
     }
--- a/entry/src/main/java/org/bamboohatch/entry/dispatch/TargetConnection.java
+++ b/entry/src/main/java/org/bamboohatch/entry/dispatch/TargetConnection.java
@@ -129,10 +129,11 @@
      *
      * @param attempt the attempt
      * @param run the run
+     * @param now the present time
      */
-    void dispatched(AttemptId attempt, OwnRun run) {
+    void dispatched(AttemptId attempt, OwnRun run, long now) {
         runs.put(attempt, run);
-        health = health.dispatched();
+        health = health.dispatched(now);
     }
 
     /**
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarding.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarding.java
@@ -219,8 +219,9 @@
             return;
         }
         tries.sent();
-        forwarder.targets().dispatched(attempt.target());
-        long left = admitted.deadline() - GatewayClock.now();
+        long now = GatewayClock.now();
+        forwarder.targets().dispatched(attempt.target(), now);
+        long left = admitted.deadline() - now;
         HttpHeaders headers = forwarder.dispatcher().headers(request, admitted, demand, attempt.dispatch(), left);
         cutter.lastId().ifPresent(id -> headers.set(dialect().lastEventId(), id));
         attempt.send(connection, headers);
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Targets.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Targets.java
@@ -159,9 +159,10 @@
      * Takes note of a request that was sent.
      *
      * @param target the target
+     * @param now the present time
      */
-    void dispatched(TargetAddress target) {
-        health.computeIfPresent(target, (address, present) -> present.dispatched());
+    void dispatched(TargetAddress target, long now) {
+        health.computeIfPresent(target, (address, present) -> present.dispatched(now));
     }
 
     /**
--- a/routing/src/main/java/org/bamboohatch/routing/retry/TargetHealth.java
+++ b/routing/src/main/java/org/bamboohatch/routing/retry/TargetHealth.java
@@ -7,9 +7,9 @@
  * @param failures failures in a row
  * @param ejections times that the target was left out in a row
  * @param excludedUntil time until which the target is left out, in milliseconds
- * @param probing whether a probe is under way
+ * @param probedUntil time until which the result of a probe is waited for, in milliseconds
  */
-public record TargetHealth(int failures, int ejections, long excludedUntil, boolean probing) {
+public record TargetHealth(int failures, int ejections, long excludedUntil, long probedUntil) {
 
     /** Failures in a row after which a target is left out. */
     private static final int MAX_FAILURES = 3;
@@ -20,11 +20,14 @@
     /** The longest such time, in milliseconds. */
     private static final long CAP_MS = 15_000;
 
+    /** Time after which a probe without a result is followed by another one, in milliseconds: longer than usual answers. */
+    private static final long PROBE_MS = 5_000;
+
     /** Doublings after which the longest time is surely reached. */
     private static final int MAX_DOUBLINGS = 6;
 
     /** A target that has not failed. */
-    public static final TargetHealth GOOD = new TargetHealth(0, 0, 0, false);
+    public static final TargetHealth GOOD = new TargetHealth(0, 0, 0, 0);
 
     /**
      * Tells whether the target may be given a request.
@@ -33,17 +36,18 @@
      * @return whether it is not left out
      */
     public boolean isAvailable(long now) {
-        boolean suspect = ejections > 0;
-        return now >= excludedUntil && !(suspect && probing);
+        return now >= excludedUntil && now >= probedUntil;
     }
 
     /**
-     * Takes note of a dispatched request.
+     * Takes note of a dispatched request. A probe may end without a result, because its caller left: it is then followed
+     * by another one.
      *
+     * @param now the present time, in milliseconds
      * @return the new health
      */
-    public TargetHealth dispatched() {
-        return new TargetHealth(failures, ejections, excludedUntil, ejections > 0);
+    public TargetHealth dispatched(long now) {
+        return ejections == 0 ? this : new TargetHealth(failures, ejections, excludedUntil, now + PROBE_MS);
     }
 
     /**
@@ -64,9 +68,9 @@
     public TargetHealth failed(long now) {
         int inRow = failures + 1;
         if (inRow < MAX_FAILURES && ejections == 0) {
-            return new TargetHealth(inRow, 0, 0, false);
+            return new TargetHealth(inRow, 0, 0, 0);
         }
         long pause = Math.min(CAP_MS, BASE_MS << Math.min(MAX_DOUBLINGS, ejections));
-        return new TargetHealth(0, ejections + 1, now + pause, false);
+        return new TargetHealth(0, ejections + 1, now + pause, 0);
     }
 }
--- a/routing/src/test/java/org/bamboohatch/routing/fleet/EnginePlacementTest.java
+++ b/routing/src/test/java/org/bamboohatch/routing/fleet/EnginePlacementTest.java
@@ -142,7 +142,7 @@
         for (int number = 0; number < 4; number++) {
             engines.add(engine(number, new Workload(0, 0, 0, 0, 1_200, 0)));
         }
-        engines.add(engine(4, new Workload(2, 2, 2, 10_000, 0, 13_000)));
+        engines.add(engine(4, new Workload(3, 3, 3, 15_000, 0, 20_000)));
         assertThat(place(REVIEW, engines).target()).isEqualTo(new TargetName("engine-e"));
     }
 
--- a/routing/src/test/java/org/bamboohatch/routing/retry/TargetHealthTest.java
+++ b/routing/src/test/java/org/bamboohatch/routing/retry/TargetHealthTest.java
@@ -27,13 +27,20 @@
 
     @Test
     void oneRequestProbesATargetThatWasLeftOut() {
-        assertThat(ejected().dispatched().isAvailable(500)).isFalse();
-        assertThat(ejected().dispatched().succeeded().isAvailable(500)).isTrue();
+        assertThat(ejected().dispatched(500).isAvailable(500)).isFalse();
+        assertThat(ejected().dispatched(500).succeeded().isAvailable(500)).isTrue();
+    }
+
+    @Test
+    void aProbeWithoutAResultIsFollowedByAnotherOne() {
+        TargetHealth probed = ejected().dispatched(500);
+        assertThat(probed.isAvailable(5_499)).isFalse();
+        assertThat(probed.isAvailable(5_500)).isTrue();
     }
 
     @Test
     void aFailedProbeLeavesTheTargetOutForLonger() {
-        TargetHealth again = ejected().dispatched().failed(500);
+        TargetHealth again = ejected().dispatched(500).failed(500);
         assertThat(again.isAvailable(1_400)).isFalse();
         assertThat(again.isAvailable(1_500)).isTrue();
     }
