--- a/control/src/main/java/org/bamboohatch/control/server/HolderAnswers.java
+++ b/control/src/main/java/org/bamboohatch/control/server/HolderAnswers.java
@@ -14,6 +14,15 @@
 /** Makes the answers to the processes that hold configuration. */
 final class HolderAnswers {
 
+    /** Time for which a poll waits for a change, in milliseconds. */
+    private static final long POLL_HOLD_MS = 500;
+
+    /**
+     * Time for which a poll waits while a new leader hears of its targets, in milliseconds: what it hears has no version
+     * that a holder could be behind of, and a process that has just begun knows no other targets.
+     */
+    private static final long GATHERING_HOLD_MS = 100;
+
     /** The state machine. */
     private final ControlMachine machine;
 
@@ -26,6 +35,18 @@
         this.machine = machine;
     }
 
+    /**
+     * Tells for how long a poll waits for news.
+     *
+     * @param poll the poll
+     * @param leader what the leader keeps
+     * @param now the present time, in milliseconds
+     * @return the time in milliseconds
+     */
+    long holdMillis(Poll poll, LeaderState leader, long now) {
+        return tellsMembership(poll, leader, now) ? POLL_HOLD_MS : GATHERING_HOLD_MS;
+    }
+
     /**
      * Tells whether a poll has something to tell.
      *
--- a/control/src/main/java/org/bamboohatch/control/server/HolderRequests.java
+++ b/control/src/main/java/org/bamboohatch/control/server/HolderRequests.java
@@ -15,9 +15,6 @@
 /** Answers the processes that hold copies of the configuration; used on the replica's thread only. */
 final class HolderRequests {
 
-    /** Time for which a poll waits for a change, in milliseconds. */
-    private static final long POLL_HOLD_MS = 500;
-
     /** Time for which an announcement waits for a change, in milliseconds. */
     private static final long ANNOUNCE_HOLD_MS = 800;
 
@@ -69,7 +66,7 @@
             session.seekConfirmation();
         }
         session.holdForNews(
-                POLL_HOLD_MS,
+                answers.holdMillis(poll, session.leader(), now),
                 () -> session.isConfirmedSince(now)
                         && (due || answers.hasNews(poll, session.leader(), ReplicaService.now())),
                 () -> exchange.end(
