--- a/cli/src/main/java/org/bamboohatch/cli/CommandLine.java
+++ b/cli/src/main/java/org/bamboohatch/cli/CommandLine.java
@@ -49,7 +49,7 @@
             metaVar = "COMMAND",
             required = true,
             handler = SubCommandHandler.class,
-            usage = "validate, apply, get, diff, history, status, targets, timeline or verify-data")
+            usage = "validate, apply, get, diff, history, status, targets, timeline, explain or verify-data")
     @SubCommands({
         @SubCommand(name = "validate", impl = Validate.class),
         @SubCommand(name = "apply", impl = Apply.class),
--- a/cli/src/main/java/org/bamboohatch/cli/command/Explain.java
+++ b/cli/src/main/java/org/bamboohatch/cli/command/Explain.java
@@ -33,10 +33,17 @@
     /** Field of a decision with the request's id. */
     private static final String REQUEST = "request";
 
+    /** Field of an order about an engine's memory, which does not name the request that it is for. */
+    private static final String RESERVATION = "reservation";
+
     /** The request. */
     @Option(name = "--request", metaVar = "ID", required = true, usage = "id of the request")
     private String request;
 
+    /** How the story is told. */
+    @Option(name = "--format", metaVar = "FORMAT", usage = "text, json or html")
+    private StoryFormat format = StoryFormat.TEXT;
+
     /** The files. */
     @Argument(metaVar = "FILE", required = true, usage = "logs of processes, as JSON lines")
     private List<Path> files = new ArrayList<>();
@@ -69,7 +76,21 @@
          * @return whether it is
          */
         boolean isBelief() {
-            return !message.has(REQUEST);
+            return !message.has(REQUEST) && !message.has(RESERVATION);
+        }
+
+        /**
+         * Tells whether the line is an order about memory at an engine that helped with a request.
+         *
+         * @param own the decisions on the request
+         * @return whether one of them names the engine among its helpers
+         */
+        boolean isOrderFor(List<Line> own) {
+            String target = message.path("target").asText();
+            return message.has(RESERVATION)
+                    && own.stream()
+                            .anyMatch(line -> line.source().equals(source)
+                                    && line.message().path("helpers").asText().contains(target));
         }
 
         /**
@@ -111,10 +132,10 @@
                 .findFirst()
                 .orElseThrow()
                 .time();
-        for (Line line : story) {
-            String mark = line.isAbout(request) ? "*" : " ";
-            context.tell(String.format("%s %+7d ms  %s  %s", mark, line.time() - begin, line.source(), line.words()));
-        }
+        List<StoryFormat.Entry> entries = story.stream()
+                .map(line -> new StoryFormat.Entry(!line.isBelief(), line.time() - begin, line.source(), line.words()))
+                .toList();
+        context.tell(format.render(request, entries).stripTrailing());
         return ExitStatus.DONE;
     }
 
@@ -147,7 +168,7 @@
      *
      * @param lines all lines
      * @param id id of the request
-     * @return its decisions, and changes of belief of the same processes around them, by time
+     * @return its decisions, orders to its helpers, and changes of belief of the same processes around them, by time
      */
     static List<Line> story(List<Line> lines, String id) {
         List<Line> own = lines.stream().filter(line -> line.isAbout(id)).toList();
@@ -159,7 +180,7 @@
         long end = own.stream().mapToLong(Line::time).max().orElseThrow();
         return lines.stream()
                 .filter(line -> line.isAbout(id)
-                        || line.isBelief()
+                        || (line.isBelief() || line.isOrderFor(own))
                                 && sources.contains(line.source())
                                 && line.time() >= begin
                                 && line.time() <= end)
--- a/cli/src/test/java/org/bamboohatch/cli/command/ExplainTest.java
+++ b/cli/src/test/java/org/bamboohatch/cli/command/ExplainTest.java
@@ -35,4 +35,34 @@
                 .containsExactly("fleet: control answers again", "placed {target=i-1}", "lost {reason=reset}");
         assertThat(Explain.story(lines, "unknown")).isEmpty();
     }
+
+    @Test
+    void ordersToTheHelpersOfARequestBelongToItsStory() throws IOException {
+        List<Explain.Line> lines = new ArrayList<>();
+        String log = """
+                {"time":1000,"message":{"event":"placed","request":"a","target":"i-1","helpers":"[i-2, i-3]"}}
+                {"time":1010,"message":{"event":"reserve","reservation":"g-1","target":"i-2","reply":"DONE"}}
+                {"time":1011,"message":{"event":"reserve","reservation":"g-2","target":"i-9","reply":"DONE"}}
+                {"time":1400,"message":{"event":"first","request":"a","target":"i-1"}}
+                """;
+        Explain.read("gateway.log", new BufferedReader(new StringReader(log)), lines);
+        assertThat(Explain.story(lines, "a"))
+                .extracting(line -> line.message().path("event").asText()
+                        + line.message().path("reservation").asText())
+                .containsExactly("placed", "reserveg-1", "first");
+    }
+
+    @Test
+    void aStoryIsTextJsonOrAPage() {
+        List<StoryFormat.Entry> entries = List.of(
+                new StoryFormat.Entry(false, -100, "gateway.log", "fleet: control answers again"),
+                new StoryFormat.Entry(true, 0, "gateway.log", "lost {reason=<b> & reset}"));
+        assertThat(StoryFormat.TEXT.render("a", entries))
+                .contains("-100 ms  gateway.log  fleet: control answers again")
+                .contains("*      +0 ms  gateway.log  lost {reason=<b> & reset}");
+        assertThat(StoryFormat.JSON.render("a", entries)).contains("\"offsetMillis\" : -100", "\"own\" : true");
+        assertThat(StoryFormat.HTML.render("a", entries))
+                .contains("<title>Request a</title>", "class=\"own\"", "lost {reason=&lt;b&gt; &amp; reset}")
+                .doesNotContain("<b>", "src=", "href=");
+    }
 }
