--- a/cli/src/main/java/org/bamboohatch/cli/command/ShowTimeline.java
+++ b/cli/src/main/java/org/bamboohatch/cli/command/ShowTimeline.java
@@ -93,17 +93,12 @@
      * @return the exit status
      */
     private ExitStatus writePage(Context context, List<Event> events) {
-        StringBuilder page = new StringBuilder("<!doctype html><meta charset=\"utf-8\"><title>Time line</title>"
-                + "<style>td{padding:2px 8px;font:13px monospace}</style><table>");
+        TablePage page = new TablePage("Time line");
         for (Event event : events) {
-            page.append("<tr>");
-            for (String cell : List.of(time(event), event.process(), event.subject(), event.kind(), event.detail())) {
-                page.append("<td>").append(escape(cell)).append("</td>");
-            }
-            page.append("</tr>\n");
+            page.row("", List.of(time(event), event.process(), event.subject(), event.kind(), event.detail()));
         }
         try {
-            Files.writeString(html, page.append("</table>").toString());
+            Files.writeString(html, page.end());
             return ExitStatus.DONE;
         } catch (IOException unwritable) {
             context.tell(html + ": cannot be written: " + unwritable.getMessage());
@@ -121,14 +116,4 @@
         HybridTime time = HybridTime.unpack(event.time());
         return Instant.ofEpochMilli(time.millis()) + "+" + time.counter();
     }
-
-    /**
-     * Makes a text safe in a page.
-     *
-     * @param text the text
-     * @return the safe text
-     */
-    private static String escape(String text) {
-        return text.replace("&", "&amp;").replace("<", "&lt;").replace(">", "&gt;");
-    }
 }
--- a/cli/src/main/java/org/bamboohatch/cli/command/StoryFormat.java
+++ b/cli/src/main/java/org/bamboohatch/cli/command/StoryFormat.java
@@ -1,21 +1,9 @@
 package org.bamboohatch.cli.command;
 
-import javax.xml.parsers.DocumentBuilderFactory;
-import javax.xml.parsers.ParserConfigurationException;
-import javax.xml.transform.OutputKeys;
-import javax.xml.transform.Transformer;
-import javax.xml.transform.TransformerException;
-import javax.xml.transform.TransformerFactory;
-import javax.xml.transform.dom.DOMSource;
-import javax.xml.transform.stream.StreamResult;
-
-import java.io.StringWriter;
 import java.util.List;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import org.w3c.dom.Document;
-import org.w3c.dom.Element;
 
 /** Ways to tell the story of a request. */
 public enum StoryFormat {
@@ -48,31 +36,21 @@
     HTML {
         @Override
         String render(String request, List<Entry> entries) {
-            Document page = newDocument();
-            Element root = page.createElement("html");
-            page.appendChild(root);
-            Element head = child(root, "head", "");
-            child(head, "title", "Request " + request);
-            child(head, "style", STYLE);
-            Element body = child(root, "body", "");
-            child(body, "h1", "Request " + request);
-            child(body, "p", "Bold lines are decisions on the request, others what its processes believed.");
-            Element table = child(body, "table", "");
+            TablePage page = new TablePage(
+                    "Request " + request,
+                    "Request " + request,
+                    "Bold lines are decisions on the request, others what its processes believed.");
             for (Entry entry : entries) {
-                Element row = child(table, "tr", "");
-                row.setAttribute("class", entry.own() ? "own" : "belief");
-                child(row, "td", String.format("%+d ms", entry.offsetMillis()));
-                child(row, "td", entry.source());
-                child(row, "td", entry.words());
+                page.row(
+                        entry.own() ? OWN : "",
+                        List.of(String.format("%+d ms", entry.offsetMillis()), entry.source(), entry.words()));
             }
-            return write(page);
+            return page.end() + System.lineSeparator();
         }
     };
 
-    /** Appearance of the page. */
-    private static final String STYLE =
-            "body { font-family: sans-serif } td { padding: 0.2em 1em; vertical-align: top } "
-                    + "td:first-child { text-align: right } .own { font-weight: bold }";
+    /** Attributes of a row that is a decision on the request. */
+    private static final String OWN = " class=\"own\" style=\"font-weight:bold\"";
 
     /**
      * One line of a story.
@@ -92,50 +70,4 @@
      * @return the text
      */
     abstract String render(String request, List<Entry> entries);
-
-    /**
-     * Creates an empty document.
-     *
-     * @return the document
-     */
-    private static Document newDocument() {
-        try {
-            return DocumentBuilderFactory.newInstance().newDocumentBuilder().newDocument();
-        } catch (ParserConfigurationException impossible) {
-            throw new IllegalStateException(impossible);
-        }
-    }
-
-    /**
-     * Adds an element.
-     *
-     * @param parent the element around it
-     * @param name its name
-     * @param text its text
-     * @return the element
-     */
-    private static Element child(Element parent, String name, String text) {
-        Element element = parent.getOwnerDocument().createElement(name);
-        element.setTextContent(text);
-        parent.appendChild(element);
-        return element;
-    }
-
-    /**
-     * Writes a page.
-     *
-     * @param page the page
-     * @return its text
-     */
-    private static String write(Document page) {
-        try {
-            Transformer transformer = TransformerFactory.newInstance().newTransformer();
-            transformer.setOutputProperty(OutputKeys.METHOD, "html");
-            StringWriter text = new StringWriter();
-            transformer.transform(new DOMSource(page), new StreamResult(text));
-            return text + System.lineSeparator();
-        } catch (TransformerException impossible) {
-            throw new IllegalStateException(impossible);
-        }
-    }
 }
