Hand leadership over before a planned stop of the leader

A vote without a check of the log: the new leader would have to be given entries first.

ControlServer stops first of all services and has the replica hand over. The leader takes no more proposals, waits until a voter holds all entries and asks it to start an election without a pre-vote; its vote requests say so, and voters grant them although they have just heard from the leader. After the shortest election timeout without a new leader proposals are taken again; the stop waits a second at most. Older replicas ignore the new message and refuse such votes as before, so a mixed group falls back to the usual election.

--- a/control/src/main/java/org/bamboohatch/control/ControlMain.java
+++ b/control/src/main/java/org/bamboohatch/control/ControlMain.java
@@ -67,8 +67,9 @@
         ControlComponent component = DaggerControlComponent.factory().create(settings);
         FrameServer server = new FrameServer(component.network(), settings.listen(), component.server());
         Service additional = extension.create(settings, component.network(), component.server()::isReady);
+        // Services stop in reverse order: leadership is handed over while all others still answer.
         return new Service.Compound(
-                List.of(component.network(), component.replica(), server, component.server(), additional));
+                List.of(component.network(), component.replica(), server, additional, component.server()));
     }
 
     /**
--- a/control/src/main/java/org/bamboohatch/control/server/ControlServer.java
+++ b/control/src/main/java/org/bamboohatch/control/server/ControlServer.java
@@ -130,6 +130,7 @@
     @Override
     public void stop() {
         // The scheduled sweeps are cancelled when the network stops.
+        replica.handOver();
     }
 
     @Override
--- a/replication/src/main/java/org/bamboohatch/replication/consensus/ConsensusCore.java
+++ b/replication/src/main/java/org/bamboohatch/replication/consensus/ConsensusCore.java
@@ -17,6 +17,7 @@
 import org.bamboohatch.replication.message.ReplicaMessage.AppendRequest;
 import org.bamboohatch.replication.message.ReplicaMessage.Envelope;
 import org.bamboohatch.replication.message.ReplicaMessage.JoinRequest;
+import org.bamboohatch.replication.message.ReplicaMessage.LeadershipTransfer;
 import org.bamboohatch.replication.message.ReplicaMessage.SnapshotRequest;
 import org.bamboohatch.replication.message.ReplicaMessage.VoteReply;
 import org.bamboohatch.replication.message.ReplicaMessage.VoteRequest;
@@ -121,7 +122,7 @@
             }
         } else if (now >= electionDeadline) {
             if (membership().isVoter(self)) {
-                campaign(true, now);
+                campaign(true, false, now);
             } else {
                 resetElectionDeadline(now);
             }
@@ -143,6 +144,8 @@
             handleVoteRequest(request, now);
         } else if (message instanceof VoteReply reply) {
             handleVoteReply(reply, now);
+        } else if (message instanceof LeadershipTransfer transfer) {
+            handleLeadershipTransfer(transfer, now);
         } else if (message instanceof AppendRequest request) {
             handleAppendRequest(request, now);
         } else if (message instanceof SnapshotRequest request) {
@@ -165,7 +168,19 @@
     }
 
     /**
-     * Proposes a command. Only a leader accepts proposals.
+     * Hands leadership over to the most advanced voter, as before a planned stop. Until it takes over or the transfer times
+     * out, no proposals are accepted. Ignored unless this replica is the leader.
+     *
+     * @param now the current time in milliseconds
+     */
+    public void transferLeadership(long now) {
+        if (role == Role.LEADER) {
+            leadership.beginTransfer(now);
+        }
+    }
+
+    /**
+     * Proposes a command. Only a leader that is not handing over accepts proposals.
      *
      * @param command the encoded command
      * @param now the current time in milliseconds
@@ -173,7 +188,7 @@
      * not the leader
      */
     public OptionalLong propose(byte[] command, long now) {
-        if (role != Role.LEADER) {
+        if (role != Role.LEADER || leadership.isTransferring(now)) {
             return OptionalLong.empty();
         }
         LogEntry entry = log.appendAsLeader(term, EntryKind.COMMAND, command);
@@ -307,9 +322,10 @@
      * Starts a pre-vote or an election.
      *
      * @param preVote whether to ask only if an election could be won, without increasing the term
+     * @param transfer whether the leader has asked for the election
      * @param now the current time in milliseconds
      */
-    private void campaign(boolean preVote, long now) {
+    private void campaign(boolean preVote, boolean transfer, long now) {
         role = preVote ? Role.PRE_CANDIDATE : Role.CANDIDATE;
         leader = null;
         grantedVotes.clear();
@@ -331,21 +347,22 @@
                                         requestedTerm,
                                         preVote,
                                         log.entries().lastIndex(),
-                                        log.entries().lastTerm())));
+                                        log.entries().lastTerm(),
+                                        transfer)));
         advanceElection(now);
     }
 
     /**
      * Handles a vote request. A learner votes too, because it may have been promoted without having received that
      * membership yet; the candidate counts only votes from voters of its own membership. Requests are rejected while a
-     * leader is active, so that a replica returning from a partition does not depose it.
+     * leader is active, so that a replica returning from a partition does not depose it, unless the leader hands over.
      *
      * @param request the vote or pre-vote request
      * @param now the current time in milliseconds
      */
     private void handleVoteRequest(VoteRequest request, long now) {
         boolean leaderActive = role == Role.LEADER || now - lastLeaderContact < timing.minimumElectionTimeoutMillis();
-        if (leaderActive || request.term() < term) {
+        if (leaderActive && !request.transfer() || request.term() < term) {
             sendVoteReply(request, false);
             return;
         }
@@ -397,7 +414,7 @@
             return;
         }
         if (role == Role.PRE_CANDIDATE) {
-            campaign(false, now);
+            campaign(false, false, now);
         } else if (role == Role.CANDIDATE) {
             role = Role.LEADER;
             leader = self;
@@ -407,6 +424,21 @@
         }
     }
 
+    /**
+     * Starts an election without a pre-vote if the present leader asks for it.
+     *
+     * @param transfer the request of the leader
+     * @param now the current time in milliseconds
+     */
+    private void handleLeadershipTransfer(LeadershipTransfer transfer, long now) {
+        if (role == Role.FOLLOWER
+                && transfer.term() == term
+                && transfer.from().equals(leader)
+                && membership().isVoter(self)) {
+            campaign(false, true, now);
+        }
+    }
+
     private void handleAppendRequest(AppendRequest request, long now) {
         if (request.term() < term) {
             log.effects().sendAfterSync(request.from(), new AppendReply(self, term, false, 0, request.sentAt()));
--- a/replication/src/main/java/org/bamboohatch/replication/consensus/Leadership.java
+++ b/replication/src/main/java/org/bamboohatch/replication/consensus/Leadership.java
@@ -14,6 +14,7 @@
 import org.bamboohatch.replication.message.Membership;
 import org.bamboohatch.replication.message.ReplicaMessage.AppendReply;
 import org.bamboohatch.replication.message.ReplicaMessage.AppendRequest;
+import org.bamboohatch.replication.message.ReplicaMessage.LeadershipTransfer;
 import org.bamboohatch.replication.message.ReplicaMessage.SnapshotRequest;
 
 /** State and decisions of a replica while it is the leader. */
@@ -54,6 +55,9 @@
     /** Hosts whose voters are replaced, by the identity of the replacing learner. */
     private final Map<ReplicaId, HostName> replacements = new HashMap<>();
 
+    /** Time until which leadership is being handed over and no proposals are accepted, in milliseconds. */
+    private long transferUntil = Long.MIN_VALUE;
+
     /** Index of the last entry that is durable at the leader itself. */
     private long ownMatchIndex;
 
@@ -126,6 +130,41 @@
         });
     }
 
+    /**
+     * Begins to hand leadership over. If no voter holds all entries yet, the first one that does is asked later.
+     *
+     * @param now the current time in milliseconds
+     */
+    void beginTransfer(long now) {
+        if (!isTransferring(now)) {
+            transferUntil = now + timing.minimumElectionTimeoutMillis();
+            replicate(now);
+            offerLeadership(now);
+        }
+    }
+
+    boolean isTransferring(long now) {
+        return now < transferUntil;
+    }
+
+    /**
+     * Asks the voter that was in contact last to take over, among those that hold all entries.
+     *
+     * @param now the current time in milliseconds
+     */
+    private void offerLeadership(long now) {
+        if (!isTransferring(now) || replicaLog.commitIndex() < termStartIndex) {
+            return;
+        }
+        membership().voters().stream()
+                .map(Member::replica)
+                .filter(replica -> !replica.equals(self))
+                .filter(replica -> followers.get(replica).matchIndex() == log.lastIndex())
+                .max(Comparator.comparingLong(replica -> followers.get(replica).lastAcknowledgedSend()))
+                .ifPresent(replica ->
+                        replicaLog.effects().sendAfterSync(replica, new LeadershipTransfer(self, core.term())));
+    }
+
     void onPersisted(long index, long now) {
         ownMatchIndex = Math.max(ownMatchIndex, index);
         advanceCommitIndex(now);
@@ -139,6 +178,7 @@
         if (reply.success()) {
             progress.onSuccess(reply.matchIndex(), reply.sentAt());
             advanceCommitIndex(now);
+            offerLeadership(now);
         } else {
             progress.onMismatch(reply.matchIndex(), reply.sentAt());
         }
--- a/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaService.java
+++ b/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaService.java
@@ -11,8 +11,10 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
 
 import org.apache.logging.log4j.LogManager;
@@ -51,6 +53,9 @@
 
     private static final long TICK_MS = 20;
 
+    /** Time that a planned stop waits for another replica to take over leadership, in milliseconds. */
+    private static final long HAND_OVER_TIMEOUT_MS = 1_000;
+
     /** Time between two attempts to bootstrap or join a group. */
     private static final long BOOTSTRAP_INTERVAL_MS = 300;
 
@@ -156,6 +161,37 @@
                 core.term());
     }
 
+    /**
+     * Hands leadership over before a planned stop, so that the group is not without a leader for an election timeout. Returns
+     * when this replica no longer leads, or after a timeout.
+     */
+    public void handOver() {
+        long giveUpAt = now() + HAND_OVER_TIMEOUT_MS;
+        try {
+            while (now() < giveUpAt && isLeaderHandingOver()) {
+                TimeUnit.MILLISECONDS.sleep(TICK_MS);
+            }
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException unanswered) {
+            LOGGER.warn("replica: leadership is not handed over: {}", unanswered.toString());
+        }
+    }
+
+    /**
+     * Continues to hand leadership over.
+     *
+     * @return whether this replica still leads
+     */
+    private boolean isLeaderHandingOver() throws InterruptedException, ExecutionException, TimeoutException {
+        CompletableFuture<Boolean> leads = new CompletableFuture<>();
+        inbox.add(() -> {
+            core.transferLeadership(now());
+            leads.complete(core.role() == Role.LEADER);
+        });
+        return leads.get(HAND_OVER_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    }
+
     @Override
     public void stop() {
         running = false;
--- a/replication/src/main/java/org/bamboohatch/replication/message/ReplicaMessage.java
+++ b/replication/src/main/java/org/bamboohatch/replication/message/ReplicaMessage.java
@@ -25,8 +25,9 @@
      * @param preliminary whether this is a pre-vote, which asks only whether an election could be won
      * @param lastIndex the index of the candidate's last log entry
      * @param lastTerm the term of the candidate's last log entry
+     * @param transfer whether the leader has asked the candidate to take over; missing in messages of older replicas
      */
-    record VoteRequest(ReplicaId from, long term, boolean preliminary, long lastIndex, long lastTerm)
+    record VoteRequest(ReplicaId from, long term, boolean preliminary, long lastIndex, long lastTerm, boolean transfer)
             implements ReplicaMessage {}
 
     /**
@@ -41,6 +42,14 @@
     record VoteReply(ReplicaId from, long term, long currentTerm, boolean preliminary, boolean granted)
             implements ReplicaMessage {}
 
+    /**
+     * Asks the most advanced voter to start an election at once, because the leader is about to stop.
+     *
+     * @param from the leader
+     * @param term the leader's term
+     */
+    record LeadershipTransfer(ReplicaId from, long term) implements ReplicaMessage {}
+
     /**
      * Carries log entries to a follower. A request without entries serves as a heartbeat.
      *
@@ -140,6 +149,7 @@
             return List.of(
                     VoteRequest.class,
                     VoteReply.class,
+                    LeadershipTransfer.class,
                     AppendRequest.class,
                     AppendReply.class,
                     SnapshotRequest.class,
--- a/replication/src/test/java/org/bamboohatch/replication/consensus/ConsensusCoreTest.java
+++ b/replication/src/test/java/org/bamboohatch/replication/consensus/ConsensusCoreTest.java
@@ -13,6 +13,7 @@
 import org.bamboohatch.replication.message.ReplicaMessage.AppendReply;
 import org.bamboohatch.replication.message.ReplicaMessage.AppendRequest;
 import org.bamboohatch.replication.message.ReplicaMessage.Envelope;
+import org.bamboohatch.replication.message.ReplicaMessage.LeadershipTransfer;
 import org.bamboohatch.replication.message.ReplicaMessage.VoteReply;
 import org.bamboohatch.replication.message.ReplicaMessage.VoteRequest;
 import org.bamboohatch.replication.message.Snapshot;
@@ -61,7 +62,7 @@
     }
 
     private static VoteRequest request(Member candidate, long term) {
-        return new VoteRequest(candidate.replica(), term, false, 1, 0);
+        return new VoteRequest(candidate.replica(), term, false, 1, 0, false);
     }
 
     @Test
@@ -179,10 +180,62 @@
         core.tick(ConsensusTiming.DEFAULT.minimumElectionTimeoutMillis());
         assertThat(core.role()).isEqualTo(Role.PRE_CANDIDATE);
         ConsensusCore other = core(TWO, new Membership(List.of(ONE, TWO, THREE), List.of()));
-        other.receive(new Envelope(TWO.replica(), new VoteRequest(ONE.replica(), 1, true, 1, 0)), 1);
+        other.receive(new Envelope(TWO.replica(), new VoteRequest(ONE.replica(), 1, true, 1, 0, false)), 1);
         assertThat(granted(other)).isTrue();
     }
 
+    /** Without a transfer, the group is without a leader for an election timeout after each planned stop. */
+    @Test
+    void leaderThatHandsOverAsksAVoterWithAllEntriesAndAcceptsNoProposals() {
+        ConsensusCore core = leaderOf(ONE, TWO);
+        assertThat(core.propose(new byte[] {1}, 2_010)).hasValue(3);
+        core.drain();
+        core.transferLeadership(2_011);
+        assertThat(transfers(core)).as("before the voter has the last entry").isEmpty();
+        assertThat(core.propose(new byte[] {2}, 2_012)).isEmpty();
+        core.receive(addressed(new AppendReply(TWO.replica(), core.term(), true, 3, 2_012)), 2_013);
+        assertThat(transfers(core)).containsExactly(TWO.replica());
+        long timedOut = 2_011 + ConsensusTiming.DEFAULT.minimumElectionTimeoutMillis();
+        assertThat(core.propose(new byte[] {2}, timedOut))
+                .as("no voter took over")
+                .isPresent();
+    }
+
+    @Test
+    void voterThatIsAskedToTakeOverIsElectedAtOnce() {
+        Membership membership = new Membership(List.of(ONE, TWO, THREE), List.of());
+        ConsensusCore candidate = core(TWO, membership);
+        candidate.receive(addressed(new AppendRequest(ONE.replica(), 1, 1, 0, List.of(), 1, 0)), 1_000);
+        candidate.receive(addressed(new LeadershipTransfer(ONE.replica(), 1)), 1_001);
+        assertThat(candidate.role()).isEqualTo(Role.CANDIDATE);
+        VoteRequest request = candidate.drain().afterSync().stream()
+                .map(OutgoingMessage::message)
+                .filter(VoteRequest.class::isInstance)
+                .map(VoteRequest.class::cast)
+                .findFirst()
+                .orElseThrow();
+        ConsensusCore voter = core(THREE, membership);
+        voter.receive(addressed(new AppendRequest(ONE.replica(), 1, 1, 0, List.of(), 1, 0)), 1_000);
+        voter.receive(addressed(request), 1_002);
+        assertThat(granted(voter)).isTrue();
+    }
+
+    @Test
+    void transferOfAnotherTermOrSenderIsIgnored() {
+        ConsensusCore core = core(TWO, new Membership(List.of(ONE, TWO, THREE), List.of()));
+        core.receive(addressed(new AppendRequest(ONE.replica(), 2, 1, 0, List.of(), 1, 0)), 1_000);
+        core.receive(addressed(new LeadershipTransfer(ONE.replica(), 1)), 1_001);
+        core.receive(addressed(new LeadershipTransfer(THREE.replica(), 2)), 1_002);
+        assertThat(core.role()).isEqualTo(Role.FOLLOWER);
+    }
+
+    private static List<ReplicaId> transfers(ConsensusCore core) {
+        return core.drain().afterSync().stream()
+                .filter(outgoing -> outgoing.message() instanceof LeadershipTransfer)
+                .map(OutgoingMessage::to)
+                .toList();
+    }
+
     private ConsensusCore leaderOf(Member self, Member other) {
         ConsensusCore core = core(self, new Membership(List.of(self, other), List.of()));
         core.tick(2_000);
--- a/replication/src/test/java/org/bamboohatch/replication/simulation/SimulatedCluster.java
+++ b/replication/src/test/java/org/bamboohatch/replication/simulation/SimulatedCluster.java
@@ -132,6 +132,8 @@
             replica.disk.full = true;
         } else if (choice < 3_040) {
             replica.disk.full = false;
+        } else if (choice < 3_080 && replica.isUp() && !replica.paused) {
+            replica.core.transferLeadership(replica.now());
         }
     }
 
