Frame events by lines instead of single bytes

Each byte of a stream was written into two synchronised buffers and each line became a string, for every event of every stream; a gateway's first requests run interpreted, where that is dearest.

Lines are found and copied in bulk; only the value of an id becomes a string. EventFramerTest (splits at all positions) is unchanged and passes.

--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/EventFramer.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/EventFramer.java
@@ -1,10 +1,10 @@
 package org.bamboohatch.gateway.forward;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 
 /**
  * Splits a server-sent event stream at event boundaries, so that no part of a truncated event is forwarded. Tracks the
@@ -16,13 +16,15 @@
     private static final String ID_FIELD = "id:";
 
     /** Prefix of a line that carries no data, such as those that only keep a connection alive. */
-    private static final String COMMENT = ":";
+    private static final byte COMMENT = ':';
+
+    private static final byte LINE_FEED = '\n';
 
     /** Bytes of the incomplete event. */
-    private final ByteArrayOutputStream partialEvent = new ByteArrayOutputStream();
+    private final ByteBuf partialEvent = Unpooled.buffer(0);
 
-    /** Bytes of the incomplete line. */
-    private final ByteArrayOutputStream partialLine = new ByteArrayOutputStream();
+    /** Position of the incomplete line in the incomplete event. */
+    private int lineStart;
 
     /** Id of the incomplete event, or null. */
     private String pendingId;
@@ -55,26 +57,54 @@
      * @return the bytes of the completed events, empty if no event was completed
      */
     byte[] append(ByteBuf part, long now) {
-        ByteArrayOutputStream complete = new ByteArrayOutputStream();
+        int completeBytes = 0;
         while (part.isReadable()) {
-            byte next = part.readByte();
-            partialEvent.write(next);
-            if (next != '\n') {
-                partialLine.write(next);
-                continue;
-            }
-            String text = partialLine.toString(StandardCharsets.UTF_8).stripTrailing();
-            partialLine.reset();
-            pendingField |= !text.isEmpty() && !text.startsWith(COMMENT);
-            if (text.startsWith(ID_FIELD)) {
-                pendingId = text.substring(ID_FIELD.length()).strip();
-            } else if (text.isEmpty()) {
-                complete.writeBytes(partialEvent.toByteArray());
-                partialEvent.reset();
-                endEvent(now);
+            int lineBytes = part.bytesBefore(LINE_FEED);
+            partialEvent.writeBytes(part, lineBytes < 0 ? part.readableBytes() : lineBytes + 1);
+            if (lineBytes >= 0) {
+                if (endLine(now)) {
+                    completeBytes = partialEvent.writerIndex();
+                }
+                lineStart = partialEvent.writerIndex();
             }
         }
-        return complete.toByteArray();
+        byte[] complete = new byte[completeBytes];
+        partialEvent.readBytes(complete);
+        partialEvent.discardReadBytes();
+        lineStart -= completeBytes;
+        return complete;
+    }
+
+    /**
+     * Interprets a complete line.
+     *
+     * @param now current time, in milliseconds
+     * @return whether the line ends the event
+     */
+    private boolean endLine(long now) {
+        int end = partialEvent.writerIndex();
+        while (end > lineStart && Character.isWhitespace(partialEvent.getByte(end - 1))) {
+            end--;
+        }
+        if (end == lineStart) {
+            endEvent(now);
+            return true;
+        }
+        pendingField |= partialEvent.getByte(lineStart) != COMMENT;
+        if (startsWithId(end)) {
+            int valueStart = lineStart + ID_FIELD.length();
+            pendingId = partialEvent
+                    .toString(valueStart, end - valueStart, StandardCharsets.UTF_8)
+                    .strip();
+        }
+        return false;
+    }
+
+    private boolean startsWithId(int end) {
+        return end - lineStart >= ID_FIELD.length()
+                && partialEvent.getByte(lineStart) == ID_FIELD.charAt(0)
+                && partialEvent.getByte(lineStart + 1) == ID_FIELD.charAt(1)
+                && partialEvent.getByte(lineStart + 2) == ID_FIELD.charAt(2);
     }
 
     /**
@@ -100,14 +130,14 @@
 
     /** Discards the incomplete event; a target that resumes the stream sends it from its beginning. */
     void discardPartialEvent() {
-        partialEvent.reset();
-        partialLine.reset();
+        partialEvent.clear();
+        lineStart = 0;
         pendingId = null;
         pendingField = false;
     }
 
     boolean hasPartialEvent() {
-        return partialEvent.size() > 0;
+        return partialEvent.isReadable();
     }
 
     /**
@@ -120,7 +150,7 @@
     }
 
     int partialEventBytes() {
-        return partialEvent.size();
+        return partialEvent.readableBytes();
     }
 
     Optional<String> lastEventId() {
