Limit what a new leader tells, and mark a whole membership of the same epoch

(1) A new leader told every subscriber its whole list ten times a second while it gathered; worked out, 195 targets and 35 gateways are 7 MB a second of the leader's 100 Mbit/s.

Polls are held for 2 ms for each known target, 100 ms at least as before and 500 ms at most. Replies say when they are whole within an epoch; copies of gateways and entries are then replaced. Older processes leave the field out.

--- a/control/src/main/java/org/bamboohatch/control/server/SubscriberAnswers.java
+++ b/control/src/main/java/org/bamboohatch/control/server/SubscriberAnswers.java
@@ -18,11 +18,14 @@
     private static final long POLL_HOLD_MS = 500;
 
     /**
-     * Maximum time for which the reply to a poll is held while a new leader's target registry is incomplete, in
+     * Minimum time for which the reply to a poll is held while a new leader's target registry is incomplete, in
      * milliseconds. It is shorter because a newly announced target does not end the hold, since the membership has no
      * version yet to compare the subscriber's with, and a subscriber that has just started knows no other targets.
      */
-    private static final long DISCOVERY_HOLD_MS = 100;
+    private static final long MIN_DISCOVERY_HOLD_MS = 100;
+
+    /** Time added to that hold for each known target, in milliseconds; limits the bytes per second, as all are sent. */
+    private static final long DISCOVERY_HOLD_PER_TARGET_MS = 2;
 
     private final ControlStateMachine stateMachine;
 
@@ -44,7 +47,11 @@
      * @return the time in milliseconds
      */
     long holdMillis(Poll poll, LeaderState leader, long now) {
-        return canSendMembership(poll, leader, now) ? POLL_HOLD_MS : DISCOVERY_HOLD_MS;
+        if (canSendMembership(poll, leader, now)) {
+            return POLL_HOLD_MS;
+        }
+        long known = leader.targets().live().size();
+        return Math.min(POLL_HOLD_MS, Math.max(MIN_DISCOVERY_HOLD_MS, known * DISCOVERY_HOLD_PER_TARGET_MS));
     }
 
     /**
@@ -113,7 +120,8 @@
                     entries,
                     fleet,
                     gateways,
-                    controls);
+                    controls,
+                    false);
         }
         TargetRegistry.Changes changes = leader.targets().changesSince(poll.epoch(), poll.version());
         return new ControlReply.Changes(
@@ -127,7 +135,8 @@
                 entries,
                 fleet,
                 gateways,
-                controls);
+                controls,
+                changes.full());
     }
 
     /**
--- a/entry/src/main/java/org/bamboohatch/entry/configuration/RoutingSnapshot.java
+++ b/entry/src/main/java/org/bamboohatch/entry/configuration/RoutingSnapshot.java
@@ -90,7 +90,7 @@
             applyDocument(nextServices, version);
         }
         Map<TargetName, TargetAnnouncement> nextTargets = new HashMap<>(targets);
-        if (changes.epoch() != membershipEpoch) {
+        if (changes.epoch() != membershipEpoch || changes.whole()) {
             nextTargets.clear();
         }
         changes.joined().forEach(target -> nextTargets.put(target.target(), target));
--- a/entry/src/test/java/org/bamboohatch/entry/configuration/RoutingSnapshotTest.java
+++ b/entry/src/test/java/org/bamboohatch/entry/configuration/RoutingSnapshotTest.java
@@ -26,7 +26,8 @@
 
     private static Changes changes(
             long revision, long epoch, List<TargetAnnouncement> joined, DocumentVersion... documents) {
-        return new Changes(revision, List.of(documents), epoch, 1, joined, List.of(), 5, 2, null, List.of(), List.of());
+        return new Changes(
+                revision, List.of(documents), epoch, 1, joined, List.of(), 5, 2, null, List.of(), List.of(), false);
     }
 
     private static TargetAnnouncement target(String name) {
--- a/gateway/src/main/java/org/bamboohatch/gateway/configuration/FleetView.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/configuration/FleetView.java
@@ -45,8 +45,8 @@
     }
 
     /**
-     * Applies the changes since this copy. In a new epoch they contain all targets and replace the membership; in the same
-     * epoch they add and remove targets.
+     * Applies the changes since this copy. In a new epoch, or if they are marked as whole, they contain all targets and
+     * replace the membership; otherwise they add and remove targets.
      *
      * @param changes the changes that control has sent for this copy
      * @param newerRouteTable configuration that replaces the present one, empty to retain it
@@ -54,7 +54,7 @@
      */
     public FleetView apply(Changes changes, Optional<RouteTable> newerRouteTable) {
         Map<TargetName, TargetAnnouncement> next = new HashMap<>(targets);
-        if (changes.epoch() != epoch) {
+        if (changes.epoch() != epoch || changes.whole()) {
             next.clear();
         }
         changes.joined().forEach(target -> next.put(target.target(), target));
--- a/gateway/src/test/java/org/bamboohatch/gateway/configuration/FleetStoreTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/configuration/FleetStoreTest.java
@@ -31,7 +31,8 @@
     private record PendingPoll(Poll poll, Exchange exchange) {
 
         void reply() {
-            exchange.end(new Changes(0, List.of(), 1, 1, List.of(), List.of(), 0, 0, null, List.of(), List.of()));
+            exchange.end(
+                    new Changes(0, List.of(), 1, 1, List.of(), List.of(), 0, 0, null, List.of(), List.of(), false));
         }
     }
 
--- a/gateway/src/test/java/org/bamboohatch/gateway/configuration/FleetViewTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/configuration/FleetViewTest.java
@@ -32,7 +32,7 @@
 
     private static Changes changes(
             long epoch, long version, List<TargetAnnouncement> joined, List<TargetName> departed) {
-        return new Changes(0, List.of(), epoch, version, joined, departed, 0, 0, null, List.of(), List.of());
+        return new Changes(0, List.of(), epoch, version, joined, departed, 0, 0, null, List.of(), List.of(), false);
     }
 
     private static FleetView apply(FleetView view, Changes changes) {
@@ -60,4 +60,13 @@
         FleetView complete = apply(between, changes(4, 2, List.of(target("c")), List.of()));
         assertThat(complete.targets().keySet()).containsExactly(new TargetName("c"));
     }
+
+    /** A copy that was cut off for longer than departures are retained would keep targets that left meanwhile. */
+    @Test
+    void aWholeMembershipOfTheSameEpochReplacesTheCopy() {
+        FleetView old = apply(FleetView.EMPTY, changes(3, 9, List.of(target("a"), target("b")), List.of()));
+        Changes whole = new Changes(
+                0, List.of(), 3, 40, List.of(target("c")), List.of(), 0, 0, null, List.of(), List.of(), true);
+        assertThat(apply(old, whole).targets().keySet()).containsExactly(new TargetName("c"));
+    }
 }
--- a/protocol/src/main/java/org/bamboohatch/protocol/message/ControlReply.java
+++ b/protocol/src/main/java/org/bamboohatch/protocol/message/ControlReply.java
@@ -132,6 +132,8 @@
      * @param fleet the fleet configuration if the subscriber's copy is older, otherwise {@code null}
      * @param gateways addresses at which the gateways receive load reports
      * @param controls addresses of the control processes
+     * @param whole whether {@code joined} is the complete membership although the epoch is the subscriber's, because
+     *     departures that the subscriber missed are no longer known; missing in replies of older control processes
      */
     record Changes(
             long revision,
@@ -144,7 +146,8 @@
             int entries,
             FleetText fleet,
             List<String> gateways,
-            List<String> controls)
+            List<String> controls,
+            boolean whole)
             implements ControlReply {}
 
     /**
