Grant streams without token counts the idle timeout of streams

Only requests with token counts counted as streams. Others on streaming routes were given up after twice the target latency without a byte, also in the middle of a sound stream, and started again at another target or, where they must not be repeated, kept: slow but sound streams were cut.

A request whose route limits the pauses, or whose target has sent events, has the timeouts of a stream. Plain services keep theirs.

--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/IdleTimeout.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/IdleTimeout.java
@@ -27,7 +27,7 @@
     /** Margin on the predicted time for engine passes and for latency between availability zones, in milliseconds. */
     private static final double PREDICTION_MARGIN_MS = 1_000;
 
-    /** Idle timeout of a plain service, as a multiple of the route's target latency. */
+    /** Idle timeout of a service whose responses are no streams, as a multiple of the route's target latency. */
     private static final double PLAIN_SERVICE_FACTOR = 2;
 
     private IdleTimeout() {}
@@ -41,7 +41,8 @@
      * @return the timeout in milliseconds
      */
     static long millis(Demand demand, Placement placement, boolean streaming) {
-        if (!demand.isGeneration()) {
+        boolean streams = streaming || demand.isGeneration() || demand.maximumInterTokenMillis() > 0;
+        if (!streams) {
             return (long) (PLAIN_SERVICE_FACTOR * demand.targetLatencyMillis());
         }
         double nextEvent = Math.max(MIN_CALLER_TIMEOUT_MS, NEXT_EVENT_CALLER_FACTOR * demand.maximumInterTokenMillis());
