Carry one memory command at most on a connection

Responses to requests repeat an id, those to memory commands have none. A late second response to one command was taken for that of the next command on the same connection: memory counted as reserved that was not, and the request was then refused by its engine.

An id on commands: nothing says that engines repeat it there.

Connections that have carried a command are not used for another one; requests go on using them, as they tell responses apart.

--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardedRequest.java
@@ -154,6 +154,7 @@
                 .acquire(
                         attempt.target(),
                         nonRepeatable,
+                        true,
                         connectTimeoutMillis,
                         now,
                         connection -> onConnected(attempt, connection));
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/MemoryCommandSender.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/MemoryCommandSender.java
@@ -95,7 +95,7 @@
             onReply.accept(reply);
         });
         command.timeout = loop.schedule(command::onTimeout, COMMAND_TIMEOUT_MS, TimeUnit.MILLISECONDS);
-        pool.acquire(target, true, COMMAND_TIMEOUT_MS, GatewayClock.now(), connection -> {
+        pool.acquire(target, true, false, COMMAND_TIMEOUT_MS, GatewayClock.now(), connection -> {
             if (connection == null) {
                 command.finish(Reply.UNANSWERED);
             } else if (command.finished) {
--- a/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
@@ -70,6 +70,9 @@
     /** Whether the connection carried another request before the one in progress. */
     private boolean used;
 
+    /** Whether the connection has carried a request without an id. */
+    private boolean carriedUnidentified;
+
     /** Whether the connection failed with an exception; the end of the connection then does not complete a response. */
     private boolean failed;
 
@@ -104,6 +107,15 @@
         return idleSince;
     }
 
+    /**
+     * Indicates whether a late second response to a request without an id may arrive.
+     *
+     * @return whether the connection has carried such a request
+     */
+    boolean carriedUnidentified() {
+        return carriedUnidentified;
+    }
+
     void setIdleSince(long now) {
         idleSince = now;
     }
@@ -131,6 +143,7 @@
         used = requestWrite != null;
         listener = responseListener;
         expectedId = headers.get(requestIdField);
+        carriedUnidentified |= expectedId == null;
         discarding = false;
         headReceived = false;
         unrelatedBytes = 0;
--- a/gateway/src/main/java/org/bamboohatch/gateway/target/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/TargetConnectionPool.java
@@ -91,6 +91,8 @@
      *
      * @param address address of the target
      * @param nonRepeatable whether the request must not be repeated; restricts reuse to recently used connections
+     * @param identified whether the response repeats an id of the request; otherwise a late second response to an earlier
+     *     request without an id could be taken for it, so connections that carried one are not used
      * @param connectTimeoutMillis timeout for opening a connection, in milliseconds
      * @param now current time, in milliseconds
      * @param onAcquired invoked with the connection, or with null if none could be opened
@@ -98,17 +100,22 @@
     public void acquire(
             TargetAddress address,
             boolean nonRepeatable,
+            boolean identified,
             int connectTimeoutMillis,
             long now,
             Consumer<HttpTargetConnection> onAcquired) {
-        Deque<HttpTargetConnection> connections = idle.getOrDefault(address, new ArrayDeque<>());
-        while (!connections.isEmpty()) {
-            HttpTargetConnection connection = connections.pop();
-            if (connection.isOpen() && now - connection.idleSince() < maxIdleMillis(connection, nonRepeatable)) {
+        Iterator<HttpTargetConnection> connections =
+                idle.getOrDefault(address, new ArrayDeque<>()).iterator();
+        while (connections.hasNext()) {
+            HttpTargetConnection connection = connections.next();
+            if (!connection.isOpen() || now - connection.idleSince() >= maxIdleMillis(connection, nonRepeatable)) {
+                connections.remove();
+                connection.close();
+            } else if (identified || !connection.carriedUnidentified()) {
+                connections.remove();
                 onAcquired.accept(connection);
                 return;
             }
-            connection.close();
         }
         open(address, connectTimeoutMillis, onAcquired);
     }
