Repeat news of leaving targets, and keep pauses of targets not announced

(1) Datagrams are lost at times, and that a target leaves was told once only; the comment said otherwise. (2) A pause was dropped if its response came while the target was not announced, so a later announcement made the target usable before its time. (3) Reports were decoded, and malformed ones logged, whoever sent them.

Each report of all load names the targets that began to leave within the last five seconds. Pauses are kept for any target that has answered. Datagrams of senders that control does not name are dropped unread.

Tests: one each for (1) and (2), seen to fail on the code before.

--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetCatalog.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetCatalog.java
@@ -203,8 +203,15 @@
         return shortest.isPresent() && shortest.getAsLong() > 0 ? shortest : OptionalLong.empty();
     }
 
+    /**
+     * Records that a target wants no requests for some time, also if it is not announced at present.
+     *
+     * @param target address of the target
+     * @param millis duration of the pause, in milliseconds
+     * @param now current time, in milliseconds
+     */
     void recordPauseRequest(TargetAddress target, long millis, long now) {
-        availability.computeIfPresent(target, (address, current) -> current.afterPauseRequest(millis, now));
+        availability.put(target, availability(target).afterPauseRequest(millis, now));
     }
 
     /**
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -43,6 +44,9 @@
     /** Targets in one datagram, so that it fits into a packet of a usual network. */
     private static final int TARGETS_PER_REPORT = 24;
 
+    /** Time for which a leaving target is named in each report of all load, as reports may be lost, in milliseconds. */
+    private static final long LEAVING_REPEAT_MS = 5_000;
+
     private final GatewaySettings settings;
 
     private final LoadTracker loadTracker;
@@ -67,7 +71,7 @@
     private final LoadTracker.PendingReport farReport;
 
     /** Leaving targets to report to gateways in other zones. */
-    private final List<LeavingTargets.Incarnation> farLeaving = new ArrayList<>();
+    private final Set<LeavingTargets.Incarnation> farLeaving = new LinkedHashSet<>();
 
     private long lastFarReportAt;
 
@@ -155,19 +159,21 @@
         List<InetSocketAddress> far = new ArrayList<>();
         peers.forEach((address, peer) -> (isFar(peer) ? far : near).add(address));
         boolean farDue = completeDue || now - lastFarReportAt >= ReportSchedule.farIntervalMillis(far.size());
-        List<LeavingTargets.Incarnation> unreported = leavingTargets.takeUnreported();
-        farLeaving.addAll(unreported);
+        List<LeavingTargets.Incarnation> nearLeaving = leavingTargets.takeUnreported();
+        farLeaving.addAll(nearLeaving);
         if (completeDue) {
             lastCompleteReportAt = now;
             loadTracker.removeExpired(now);
+            nearLeaving = leavingTargets.addedSince(now - LEAVING_REPEAT_MS);
+            farLeaving.addAll(nearLeaving);
         }
-        if (completeDue || nearReport.hasChanges() || !unreported.isEmpty()) {
-            send(near, completeDue ? nearReport.takeAll() : nearReport.takeChanges(), unreported);
+        if (completeDue || nearReport.hasChanges() || !nearLeaving.isEmpty()) {
+            send(near, completeDue ? nearReport.takeAll() : nearReport.takeChanges(), nearLeaving);
         }
         if (farDue) {
             lastFarReportAt = now;
             if (completeDue || farReport.hasChanges() || !farLeaving.isEmpty()) {
-                send(far, completeDue ? farReport.takeAll() : farReport.takeChanges(), farLeaving);
+                send(far, completeDue ? farReport.takeAll() : farReport.takeChanges(), List.copyOf(farLeaving));
                 farLeaving.clear();
             }
         }
@@ -178,7 +184,7 @@
     }
 
     /**
-     * Sends a report, in several datagrams if it is long. Every report of all load also names the leaving targets again.
+     * Sends a report, in several datagrams if it is long.
      *
      * @param receivers addresses of the receivers
      * @param workloads the load by target
@@ -216,15 +222,14 @@
     }
 
     /**
-     * Applies a report, unless it was overtaken by a later one or its sender is not a gateway of the fleet.
+     * Applies a report, unless it was overtaken by a later one.
      *
      * @param report the report
-     * @param sender address of the sender
+     * @param peer the gateway that sent it
      * @param now current time, in milliseconds
      */
-    private void apply(GatewayLoad report, InetSocketAddress sender, long now) {
-        Peer peer = peers.get(sender);
-        if (peer == null || peer.start == report.start() && report.number() <= peer.number) {
+    private void apply(GatewayLoad report, Peer peer, long now) {
+        if (peer.start == report.start() && report.number() <= peer.number) {
             return;
         }
         peer.zone = report.zone();
@@ -236,15 +241,19 @@
         report.leaving().forEach(target -> leavingTargets.addReported(target.toIncarnation(), now));
     }
 
-    /** Receives the reports of other gateways. */
+    /** Receives the reports of other gateways. What others send is dropped unread. */
     private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+            Peer peer = peers.get(packet.sender());
+            if (peer == null) {
+                return;
+            }
             try {
                 GatewayLoad report =
                         MessageCodec.instance().decode(ByteBufUtil.getBytes(packet.content()), GatewayLoad.class);
-                apply(report, packet.sender(), GatewayClock.now());
+                apply(report, peer, GatewayClock.now());
             } catch (IOException malformed) {
                 LOGGER.warn("load: malformed report from {}: {}", packet.sender(), malformed.getMessage());
             }
--- a/gateway/src/main/java/org/bamboohatch/gateway/target/LeavingTargets.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/LeavingTargets.java
@@ -81,4 +81,17 @@
         unreported.clear();
         return taken;
     }
+
+    /**
+     * Returns the targets that were added recently.
+     *
+     * @param since the earliest time, in milliseconds
+     * @return the targets that were added at or after it
+     */
+    public List<Incarnation> addedSince(long since) {
+        return reportedAt.entrySet().stream()
+                .filter(target -> target.getValue() >= since)
+                .map(Map.Entry::getKey)
+                .toList();
+    }
 }
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
@@ -152,11 +152,20 @@
 
     /** Announces both targets once the first one has received a request. */
     void applyOnceReceived(FakeTarget first, FakeTarget second) {
+        applyOnceReceived(first, new FakeTarget[] {first, second});
+    }
+
+    /** Announces no targets once the given one has received a request. */
+    void withdrawOnceReceived(FakeTarget target) {
+        applyOnceReceived(target, new FakeTarget[0]);
+    }
+
+    private void applyOnceReceived(FakeTarget receiver, FakeTarget[] announced) {
         try {
-            while (first.received.isEmpty()) {
+            while (receiver.received.isEmpty()) {
                 Thread.sleep(1);
             }
-            apply(first, second);
+            apply(announced);
         } catch (Exception failed) {
             throw new IllegalStateException(failed);
         }
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/TargetNoticesTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/TargetNoticesTest.java
@@ -2,6 +2,7 @@
 
 import java.net.Socket;
 import java.util.OptionalLong;
+import java.util.concurrent.CountDownLatch;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -96,6 +97,30 @@
         }
     }
 
+    /** The response arrives when the target is not announced; a later announcement makes it known again. */
+    @Test
+    void aPauseOfATargetThatIsNotAnnouncedIsObeyed() throws Exception {
+        CountDownLatch withdrawn = new CountDownLatch(1);
+        FakeTarget.Script refusing = (received, connection) -> {
+            withdrawn.await();
+            return refusing("30").answer(received, connection);
+        };
+        try (FakeTarget paused = new FakeTarget(refusing);
+                FakeTarget other = new FakeTarget(TargetNoticesTest::serve);
+                GatewayHarness gateway = new GatewayHarness(paused)) {
+            Thread withdrawing = new Thread(() -> {
+                gateway.withdrawOnceReceived(paused);
+                withdrawn.countDown();
+            });
+            withdrawing.start();
+            gateway.call(request("GET", "/read/x", "a1", "", ""));
+            withdrawing.join();
+            gateway.apply(paused, other);
+            callAll(gateway, "b");
+            assertThat(paused.received).hasSize(1);
+        }
+    }
+
     @Test
     void ifAllTargetsArePausedCallersAreToldTheShortestPause() throws Exception {
         try (FakeTarget first = new FakeTarget(refusing("90"));
--- a/gateway/src/test/java/org/bamboohatch/gateway/load/LoadExchangeTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/load/LoadExchangeTest.java
@@ -143,6 +143,22 @@
                 .isFalse();
     }
 
+    /** The gateway that is told is not known yet when the target reports that it leaves. */
+    @Test
+    void aLostReportOfALeavingTargetIsRepeated() throws Exception {
+        first.exchange.start();
+        onLoop(() -> first.leavingTargets.add(new LeavingTargets.Incarnation(ENGINE, 7), GatewayClock.now()));
+        Thread.sleep(100);
+        second.exchange.start();
+        for (Gateway gateway : List.of(first, second)) {
+            onLoop(() -> {
+                gateway.exchange.apply(List.of(first.address, second.address));
+                return null;
+            });
+        }
+        awaitOnLoop(() -> second.leavingTargets.contains(new TargetAddress(ENGINE, 7, "127.0.0.1:1")));
+    }
+
     @Test
     void malformedDatagramsAreIgnored() throws Exception {
         start();
