Hand leadership over by a field of an append, which older replicas ignore

Cause. bin/compatibility against: two failures, "no message was refused as unknown", with one old and with one new control process.

The request to take over is a field of an append without entries, sent to a voter that holds all of them. A follower that gets it accepts the append as any other and starts the election.

--- a/replication/src/main/java/org/bamboohatch/replication/consensus/ConsensusCore.java
+++ b/replication/src/main/java/org/bamboohatch/replication/consensus/ConsensusCore.java
@@ -17,7 +17,6 @@
 import org.bamboohatch.replication.message.ReplicaMessage.AppendRequest;
 import org.bamboohatch.replication.message.ReplicaMessage.Envelope;
 import org.bamboohatch.replication.message.ReplicaMessage.JoinRequest;
-import org.bamboohatch.replication.message.ReplicaMessage.LeadershipTransfer;
 import org.bamboohatch.replication.message.ReplicaMessage.SnapshotRequest;
 import org.bamboohatch.replication.message.ReplicaMessage.VoteReply;
 import org.bamboohatch.replication.message.ReplicaMessage.VoteRequest;
@@ -144,8 +143,6 @@
             handleVoteRequest(request, now);
         } else if (message instanceof VoteReply reply) {
             handleVoteReply(reply, now);
-        } else if (message instanceof LeadershipTransfer transfer) {
-            handleLeadershipTransfer(transfer, now);
         } else if (message instanceof AppendRequest request) {
             handleAppendRequest(request, now);
         } else if (message instanceof SnapshotRequest request) {
@@ -424,21 +421,6 @@
         }
     }
 
-    /**
-     * Starts an election without a pre-vote if the present leader asks for it.
-     *
-     * @param transfer the request of the leader
-     * @param now the current time in milliseconds
-     */
-    private void handleLeadershipTransfer(LeadershipTransfer transfer, long now) {
-        if (role == Role.FOLLOWER
-                && transfer.term() == term
-                && transfer.from().equals(leader)
-                && membership().isVoter(self)) {
-            campaign(false, true, now);
-        }
-    }
-
     private void handleAppendRequest(AppendRequest request, long now) {
         if (request.term() < term) {
             log.effects().sendAfterSync(request.from(), new AppendReply(self, term, false, 0, request.sentAt()));
@@ -448,6 +430,9 @@
         boolean matches = log.matches(request);
         long index = matches ? log.acceptAppend(request) : log.backtrackIndex(request);
         log.effects().sendAfterSync(request.from(), new AppendReply(self, term, matches, index, request.sentAt()));
+        if (request.transfer() && matches && membership().isVoter(self)) {
+            campaign(false, true, now);
+        }
     }
 
     private void handleSnapshotRequest(SnapshotRequest request, long now) {
--- a/replication/src/main/java/org/bamboohatch/replication/consensus/Leadership.java
+++ b/replication/src/main/java/org/bamboohatch/replication/consensus/Leadership.java
@@ -14,7 +14,6 @@
 import org.bamboohatch.replication.message.Membership;
 import org.bamboohatch.replication.message.ReplicaMessage.AppendReply;
 import org.bamboohatch.replication.message.ReplicaMessage.AppendRequest;
-import org.bamboohatch.replication.message.ReplicaMessage.LeadershipTransfer;
 import org.bamboohatch.replication.message.ReplicaMessage.SnapshotRequest;
 
 /** State and decisions of a replica while it is the leader. */
@@ -161,8 +160,19 @@
                 .filter(replica -> !replica.equals(self))
                 .filter(replica -> followers.get(replica).matchIndex() == log.lastIndex())
                 .max(Comparator.comparingLong(replica -> followers.get(replica).lastAcknowledgedSend()))
-                .ifPresent(replica ->
-                        replicaLog.effects().sendAfterSync(replica, new LeadershipTransfer(self, core.term())));
+                .ifPresent(replica -> {
+                    AppendRequest request = new AppendRequest(
+                            self,
+                            core.term(),
+                            log.lastIndex(),
+                            log.lastTerm(),
+                            List.of(),
+                            replicaLog.commitIndex(),
+                            now,
+                            true);
+                    replicaLog.effects().sendAfterSync(replica, request);
+                    followers.get(replica).onSent(log.lastIndex(), now);
+                });
     }
 
     void onPersisted(long index, long now) {
--- a/replication/src/main/java/org/bamboohatch/replication/message/ReplicaMessage.java
+++ b/replication/src/main/java/org/bamboohatch/replication/message/ReplicaMessage.java
@@ -42,14 +42,6 @@
     record VoteReply(ReplicaId from, long term, long currentTerm, boolean preliminary, boolean granted)
             implements ReplicaMessage {}
 
-    /**
-     * Asks the most advanced voter to start an election at once, because the leader is about to stop.
-     *
-     * @param from the leader
-     * @param term the leader's term
-     */
-    record LeadershipTransfer(ReplicaId from, long term) implements ReplicaMessage {}
-
     /**
      * Carries log entries to a follower. A request without entries serves as a heartbeat.
      *
@@ -60,6 +52,9 @@
      * @param entries the log entries, possibly empty
      * @param commitIndex the leader's commit index
      * @param sentAt the send time on the leader's clock in milliseconds, echoed in the reply
+     * @param transfer whether the leader is about to stop and asks the follower, which holds all entries, to start an
+     *     election at once; a field of this message rather than a message of its own, because older replicas refuse
+     *     unknown messages but ignore unknown fields
      */
     record AppendRequest(
             ReplicaId from,
@@ -68,8 +63,32 @@
             long previousTerm,
             List<LogEntry> entries,
             long commitIndex,
-            long sentAt)
-            implements ReplicaMessage {}
+            long sentAt,
+            boolean transfer)
+            implements ReplicaMessage {
+
+        /**
+         * Creates a request of a leader that does not hand over.
+         *
+         * @param from the leader
+         * @param term the leader's term
+         * @param previousIndex the index of the entry that precedes the carried ones
+         * @param previousTerm the term of the entry that precedes the carried ones
+         * @param entries the log entries, possibly empty
+         * @param commitIndex the leader's commit index
+         * @param sentAt the send time on the leader's clock in milliseconds
+         */
+        public AppendRequest(
+                ReplicaId from,
+                long term,
+                long previousIndex,
+                long previousTerm,
+                List<LogEntry> entries,
+                long commitIndex,
+                long sentAt) {
+            this(from, term, previousIndex, previousTerm, entries, commitIndex, sentAt, false);
+        }
+    }
 
     /**
      * Replies to an append or a snapshot request.
@@ -149,7 +168,6 @@
             return List.of(
                     VoteRequest.class,
                     VoteReply.class,
-                    LeadershipTransfer.class,
                     AppendRequest.class,
                     AppendReply.class,
                     SnapshotRequest.class,
