Log the prompt parts of lost requests and the events of the attempt

The lines about lost answers told neither which parts of a prompt the request shared with others nor how much of the answer the attempt itself had sent, as events of a resumed stream are counted over all attempts. So they could not show whether the requests under which engines ended have a part in common. No decision changes.

--- a/gateway/src/main/java/org/bamboohatch/gateway/Dialect.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/Dialect.java
@@ -12,6 +12,8 @@
  * @param seal signature of a response by the target
  * @param tokenCounts size of a generation: number of prompt tokens and maximum number of output tokens, separated by a
  *     comma
+ * @param promptParts parts of the prompt of a generation, in order and separated by commas; each is an id, a colon and a
+ *     number of tokens. Requests may share parts, except for the last one
  * @param outputTokensHint estimate by the caller of the number of output tokens
  * @param priority priority in the queue of the target; lower values come first, zero is the most urgent
  * @param prefillHelpers engines that prefill a part of the prompt, separated by commas; each is an address, or the name
@@ -30,6 +32,7 @@
         String notExecuted,
         String seal,
         String tokenCounts,
+        String promptParts,
         String outputTokensHint,
         String priority,
         String prefillHelpers,
@@ -48,6 +51,7 @@
             "Not-Executed",
             "Answer-Seal",
             "Token-Counts",
+            "Prompt-Parts",
             "Answer-Tokens-Hint",
             "Request-Priority",
             "Reading-Helpers",
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardedRequest.java
@@ -1,5 +1,6 @@
 package org.bamboohatch.gateway.forward;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
@@ -14,6 +15,7 @@
 import org.bamboohatch.gateway.http.InboundRequest;
 import org.bamboohatch.gateway.http.Responder;
 import org.bamboohatch.gateway.target.HttpTargetConnection;
+import org.bamboohatch.kernel.id.PromptPartId;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.log.DecisionLog;
 import org.bamboohatch.kernel.log.DecisionLog.Category;
@@ -25,6 +27,9 @@
 /** An admitted request, from its admission to the end of the response. */
 final class ForwardedRequest implements CallerRequestHandler.Listener {
 
+    /** Number of parts of a prompt that a line of the decision log names. */
+    private static final int MAX_LOGGED_PARTS = 8;
+
     private final Forwarder forwarder;
 
     private final InboundRequest request;
@@ -35,6 +40,9 @@
 
     private final Demand demand;
 
+    /** Parts of the prompt that other requests may have in common with this one, in the order of the prompt. */
+    private final List<PromptPartId> promptParts;
+
     private final EventFramer framer = new EventFramer();
 
     private final AttemptHistory history = new AttemptHistory();
@@ -69,6 +77,8 @@
         this.responder = responder;
         this.admitted = admitted;
         this.demand = demand;
+        this.promptParts =
+                PromptParts.shared(request.headers().get(forwarder.dialect().promptParts()));
     }
 
     /** Starts the deadline timer and the first attempt. */
@@ -311,6 +321,10 @@
                 .with("reason", reason)
                 .with("afterMs", now - attempt.startedAt())
                 .with("events", framer.eventCount())
+                .with("attemptEvents", framer.eventCount() - attempt.eventsBefore())
+                .with(
+                        "promptParts",
+                        promptParts.stream().limit(MAX_LOGGED_PARTS).toList())
                 .write();
         framer.discardPartialEvent();
         if (ended) {
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardingAttempt.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardingAttempt.java
@@ -37,6 +37,9 @@
 
     private final long startedAt;
 
+    /** Number of events that the request had received from other attempts when this one began. */
+    private final long eventsBefore;
+
     /** The connection, null until it is open. */
     private HttpTargetConnection connection;
 
@@ -86,6 +89,7 @@
         this.forwarded = forwarded;
         this.resources = resources;
         this.startedAt = now;
+        this.eventsBefore = forwarded.framer().eventCount();
         this.lastActivityAt = now;
     }
 
@@ -101,6 +105,10 @@
         return startedAt;
     }
 
+    long eventsBefore() {
+        return eventsBefore;
+    }
+
     boolean isEnded() {
         return mode == Mode.ENDED;
     }
