--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/FakeTarget.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/FakeTarget.java
@@ -34,6 +34,9 @@
 
     final CountDownLatch callerGone = new CountDownLatch(1);
 
+    /** The open connections, which end with the target. */
+    private final List<Socket> connections = new CopyOnWriteArrayList<>();
+
     private final ServerSocket listener;
 
     private final Script script;
@@ -54,6 +57,7 @@
         try {
             while (true) {
                 Socket connection = listener.accept();
+                connections.add(connection);
                 Thread serving = new Thread(() -> serve(connection), "fake-target-connection");
                 serving.setDaemon(true);
                 serving.start();
@@ -123,6 +127,18 @@
         return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
     }
 
+    /** Ends like a process that crashes: no connection remains open, and none is accepted any more. */
+    void crash() throws IOException {
+        listener.close();
+        for (Socket connection : connections) {
+            connection.close();
+        }
+    }
+
+    boolean hasCrashed() {
+        return listener.isClosed();
+    }
+
     @Override
     public void close() throws IOException {
         listener.close();
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -35,6 +37,7 @@
 import org.bamboohatch.gateway.configuration.FleetViewSource;
 import org.bamboohatch.gateway.configuration.RouteTable;
 import org.bamboohatch.gateway.http.CallerServer;
+import org.bamboohatch.gateway.load.LoadExchange;
 import org.bamboohatch.gateway.load.LoadTracker;
 import org.bamboohatch.gateway.target.LeavingTargets;
 import org.bamboohatch.kernel.id.AccountName;
@@ -74,11 +77,17 @@
 
     private final int port;
 
+    private final String exchangeAddress;
+
+    private final LoadExchange exchange;
+
     private volatile FleetView view = FleetView.EMPTY;
 
     GatewayHarness(FakeTarget... targets) throws Exception {
-        try (ServerSocket free = new ServerSocket(0)) {
+        try (ServerSocket free = new ServerSocket(0);
+                DatagramSocket freeForDatagrams = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
             port = free.getLocalPort();
+            exchangeAddress = "127.0.0.1:" + freeForDatagrams.getLocalPort();
         }
         loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         GatewaySettings settings = new GatewaySettings(
@@ -86,7 +95,7 @@
                 new ZoneName("zone-a"),
                 "127.0.0.1:" + port,
                 "",
-                "127.0.0.1:1",
+                exchangeAddress,
                 List.of("127.0.0.1:2"),
                 4_000,
                 0.2,
@@ -94,14 +103,12 @@
                 10_000,
                 3_500,
                 1_000);
+        LoadTracker loadTracker = new LoadTracker();
+        LeavingTargets leavingTargets = new LeavingTargets();
         forwarder = new Forwarder(
-                settings,
-                Dialect.DEFAULT,
-                loop,
-                this,
-                new LoadTracker(),
-                new LeavingTargets(),
-                new GatewayMetrics(registry));
+                settings, Dialect.DEFAULT, loop, this, loadTracker, leavingTargets, new GatewayMetrics(registry));
+        exchange = new LoadExchange(settings, loadTracker, leavingTargets, loop);
+        exchange.start();
         callers = new CallerServer(new InetSocketAddress("127.0.0.1", port), loop, forwarder, () -> LIMITS);
         callers.start();
         if (targets.length > 0) {
@@ -150,6 +157,13 @@
                 List.of(new FleetAccount(new AccountName("oaxaca"), List.of("key-1"), 1)));
     }
 
+    /** Makes this gateway and another one send each other load reports. */
+    void exchangeWith(GatewayHarness other) throws Exception {
+        List<String> addresses = List.of(exchangeAddress, other.exchangeAddress);
+        loop.submit(() -> exchange.apply(addresses)).sync();
+        other.loop.submit(() -> other.exchange.apply(addresses)).sync();
+    }
+
     /** Announces both targets once the first one has received a request. */
     void applyOnceReceived(FakeTarget first, FakeTarget second) {
         applyOnceReceived(first, new FakeTarget[] {first, second});
@@ -231,6 +245,7 @@
     @Override
     public void close() {
         callers.stop();
+        exchange.stop();
         loop.parent().shutdownGracefully();
     }
 }
