--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetCatalog.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetCatalog.java
@@ -222,7 +222,7 @@
      * @return whether it was not known to be leaving
      */
     boolean recordLeaving(TargetAddress target, long now) {
-        return leaving.add(new LeavingTargets.Incarnation(target.target(), target.incarnation()), now);
+        return leaving.add(target.toIncarnation(), now);
     }
 
     void recordDispatch(TargetAddress target, long now) {
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/GatewayLoad.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/GatewayLoad.java
@@ -4,7 +4,7 @@
 
 import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.annotation.JsonPropertyOrder;
-import org.bamboohatch.gateway.target.LeavingTargets;
+import org.bamboohatch.kernel.id.TargetIncarnation;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.id.ZoneName;
 import org.bamboohatch.protocol.message.Message;
@@ -41,12 +41,12 @@
     @JsonPropertyOrder({"target", "incarnation"})
     public record LeavingTarget(TargetName target, long incarnation) {
 
-        static LeavingTarget of(LeavingTargets.Incarnation incarnation) {
+        static LeavingTarget of(TargetIncarnation incarnation) {
             return new LeavingTarget(incarnation.target(), incarnation.number());
         }
 
-        LeavingTargets.Incarnation toIncarnation() {
-            return new LeavingTargets.Incarnation(target, incarnation);
+        TargetIncarnation toIncarnation() {
+            return new TargetIncarnation(target, incarnation);
         }
     }
 
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
@@ -26,6 +26,7 @@
 import org.bamboohatch.gateway.GatewayClock;
 import org.bamboohatch.gateway.GatewaySettings;
 import org.bamboohatch.gateway.target.LeavingTargets;
+import org.bamboohatch.kernel.id.TargetIncarnation;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.id.ZoneName;
 import org.bamboohatch.kernel.service.Service;
@@ -71,7 +72,7 @@
     private final LoadTracker.PendingReport farReport;
 
     /** Leaving targets to report to gateways in other zones. */
-    private final Set<LeavingTargets.Incarnation> farLeaving = new LinkedHashSet<>();
+    private final Set<TargetIncarnation> farLeaving = new LinkedHashSet<>();
 
     private long lastFarReportAt;
 
@@ -159,7 +160,7 @@
         List<InetSocketAddress> far = new ArrayList<>();
         peers.forEach((address, peer) -> (isFar(peer) ? far : near).add(address));
         boolean farDue = completeDue || now - lastFarReportAt >= ReportSchedule.farIntervalMillis(far.size());
-        List<LeavingTargets.Incarnation> nearLeaving = leavingTargets.takeUnreported();
+        List<TargetIncarnation> nearLeaving = leavingTargets.takeUnreported();
         farLeaving.addAll(nearLeaving);
         if (completeDue) {
             lastCompleteReportAt = now;
@@ -191,9 +192,7 @@
      * @param leaving targets that are about to end
      */
     private void send(
-            List<InetSocketAddress> receivers,
-            Map<TargetName, Workload> workloads,
-            List<LeavingTargets.Incarnation> leaving) {
+            List<InetSocketAddress> receivers, Map<TargetName, Workload> workloads, List<TargetIncarnation> leaving) {
         if (receivers.isEmpty()) {
             return;
         }
--- a/gateway/src/main/java/org/bamboohatch/gateway/target/LeavingTargets.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/LeavingTargets.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Map;
 
-import org.bamboohatch.kernel.id.TargetName;
+import org.bamboohatch.kernel.id.TargetIncarnation;
 
 /**
  * The targets that have reported, to this gateway or to another one, that they are about to end. Confined to the callers'
@@ -17,18 +17,10 @@
     private static final long RETENTION_MS = 600_000;
 
     /** Time of the report by target, the oldest first. */
-    private final Map<Incarnation, Long> reportedAt = new LinkedHashMap<>();
+    private final Map<TargetIncarnation, Long> reportedAt = new LinkedHashMap<>();
 
     /** Targets that told this gateway and that it has not reported to others. */
-    private final List<Incarnation> unreported = new ArrayList<>();
-
-    /**
-     * One incarnation of a target.
-     *
-     * @param target name of the target
-     * @param number number of the incarnation, which changes when the target restarts
-     */
-    public record Incarnation(TargetName target, long number) {}
+    private final List<TargetIncarnation> unreported = new ArrayList<>();
 
     /** Creates an empty set. */
     public LeavingTargets() {}
@@ -40,7 +32,7 @@
      * @param now current time, in milliseconds
      * @return whether it was not known to be leaving
      */
-    public boolean add(Incarnation incarnation, long now) {
+    public boolean add(TargetIncarnation incarnation, long now) {
         boolean added = addReported(incarnation, now);
         if (added) {
             unreported.add(incarnation);
@@ -55,7 +47,7 @@
      * @param now current time, in milliseconds
      * @return whether it was not known to be leaving
      */
-    public boolean addReported(Incarnation incarnation, long now) {
+    public boolean addReported(TargetIncarnation incarnation, long now) {
         reportedAt.values().removeIf(reported -> reported < now - RETENTION_MS);
         return reportedAt.putIfAbsent(incarnation, now) == null;
     }
@@ -67,8 +59,7 @@
      * @return whether this incarnation has reported that it is about to end
      */
     public boolean contains(TargetAddress address) {
-        return !reportedAt.isEmpty()
-                && reportedAt.containsKey(new Incarnation(address.target(), address.incarnation()));
+        return !reportedAt.isEmpty() && reportedAt.containsKey(address.toIncarnation());
     }
 
     /**
@@ -76,8 +67,8 @@
      *
      * @return the targets to report to other gateways
      */
-    public List<Incarnation> takeUnreported() {
-        List<Incarnation> taken = List.copyOf(unreported);
+    public List<TargetIncarnation> takeUnreported() {
+        List<TargetIncarnation> taken = List.copyOf(unreported);
         unreported.clear();
         return taken;
     }
@@ -88,7 +79,7 @@
      * @param since the earliest time, in milliseconds
      * @return the targets that were added at or after it
      */
-    public List<Incarnation> addedSince(long since) {
+    public List<TargetIncarnation> addedSince(long since) {
         return reportedAt.entrySet().stream()
                 .filter(target -> target.getValue() >= since)
                 .map(Map.Entry::getKey)
--- a/gateway/src/main/java/org/bamboohatch/gateway/target/TargetAddress.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/TargetAddress.java
@@ -1,5 +1,6 @@
 package org.bamboohatch.gateway.target;
 
+import org.bamboohatch.kernel.id.TargetIncarnation;
 import org.bamboohatch.kernel.id.TargetName;
 
 /**
@@ -9,4 +10,14 @@
  * @param incarnation number of the incarnation, which changes when the target restarts
  * @param address network address, as IP:port
  */
-public record TargetAddress(TargetName target, long incarnation, String address) {}
+public record TargetAddress(TargetName target, long incarnation, String address) {
+
+    /**
+     * Returns the incarnation at this address.
+     *
+     * @return name and number of the incarnation
+     */
+    public TargetIncarnation toIncarnation() {
+        return new TargetIncarnation(target, incarnation);
+    }
+}
--- a/gateway/src/test/java/org/bamboohatch/gateway/load/LoadExchangeTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/load/LoadExchangeTest.java
@@ -15,6 +15,7 @@
 import org.bamboohatch.gateway.target.LeavingTargets;
 import org.bamboohatch.gateway.target.TargetAddress;
 import org.bamboohatch.kernel.id.HostName;
+import org.bamboohatch.kernel.id.TargetIncarnation;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.id.ZoneName;
 import org.junit.jupiter.api.AfterEach;
@@ -136,7 +137,7 @@
     @Test
     void leavingTargetsAreReported() throws Exception {
         start();
-        onLoop(() -> first.leavingTargets.add(new LeavingTargets.Incarnation(ENGINE, 7), GatewayClock.now()));
+        onLoop(() -> first.leavingTargets.add(new TargetIncarnation(ENGINE, 7), GatewayClock.now()));
         awaitOnLoop(() -> second.leavingTargets.contains(new TargetAddress(ENGINE, 7, "127.0.0.1:1")));
         assertThat(onLoop(() -> second.leavingTargets.contains(new TargetAddress(ENGINE, 8, "127.0.0.1:1"))))
                 .as("its next incarnation")
@@ -147,7 +148,7 @@
     @Test
     void aLostReportOfALeavingTargetIsRepeated() throws Exception {
         first.exchange.start();
-        onLoop(() -> first.leavingTargets.add(new LeavingTargets.Incarnation(ENGINE, 7), GatewayClock.now()));
+        onLoop(() -> first.leavingTargets.add(new TargetIncarnation(ENGINE, 7), GatewayClock.now()));
         Thread.sleep(100);
         second.exchange.start();
         for (Gateway gateway : List.of(first, second)) {
