--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardedRequest.java
@@ -17,7 +17,6 @@
 import org.bamboohatch.gateway.target.HttpTargetConnection;
 import org.bamboohatch.kernel.id.PromptPartId;
 import org.bamboohatch.kernel.id.TargetName;
-import org.bamboohatch.kernel.log.DecisionLog;
 import org.bamboohatch.kernel.log.DecisionLog.Category;
 import org.bamboohatch.kernel.outcome.ErrorCode;
 import org.bamboohatch.kernel.outcome.Refusal;
@@ -27,9 +26,6 @@
 /** An admitted request, from its admission to the end of the response. */
 final class ForwardedRequest implements CallerRequestHandler.Listener {
 
-    /** Number of parts of a prompt that a line of the decision log names. */
-    private static final int MAX_LOGGED_PARTS = 8;
-
     private final Forwarder forwarder;
 
     private final InboundRequest request;
@@ -43,6 +39,8 @@
     /** Parts of the prompt that other requests may have in common with this one, in the order of the prompt. */
     private final List<PromptPartId> promptParts;
 
+    private final RequestLog log;
+
     private final EventFramer framer = new EventFramer();
 
     private final AttemptHistory history = new AttemptHistory();
@@ -77,8 +75,10 @@
         this.responder = responder;
         this.admitted = admitted;
         this.demand = demand;
-        this.promptParts =
-                PromptParts.shared(request.headers().get(forwarder.dialect().promptParts()));
+        Dialect dialect = forwarder.dialect();
+        this.promptParts = PromptParts.shared(request.headers().get(dialect.promptParts()));
+        String requestId = request.headers().get(dialect.requestId());
+        this.log = new RequestLog(forwarder.decisionLog(), requestId, admitted, demand, promptParts);
     }
 
     /** Starts the deadline timer and the first attempt. */
@@ -124,15 +124,7 @@
         AttemptResources resources = chosen.get();
         ForwardingAttempt attempt = new ForwardingAttempt(this, resources, now);
         current = attempt;
-        forwarder
-                .log(Category.ROUTINE, "placed", this)
-                .with("target", resources.target().target())
-                .with("predictedMs", Math.round(resources.placement().timeToFirstTokenMillis()))
-                .with("helpers", resources.placement().prefillHelpers())
-                .with("holders", resources.placement().allocations().size())
-                .with("send", history.sends() + 1)
-                .with("leftMs", admitted.deadline() - now)
-                .write();
+        log.placed(attempt, history.sends() + 1, admitted.deadline() - now);
         resources.memory().acquire(engineWithoutMemory -> onMemoryReserved(attempt, engineWithoutMemory));
     }
 
@@ -187,10 +179,7 @@
             history.exclude(attempt.target().target());
             attempt.cancel();
             forwarder.targets().recordFailure(attempt.target(), GatewayClock.now());
-            forwarder
-                    .log(Category.FAILURE, "unreachable", this)
-                    .with("target", attempt.target().target())
-                    .write();
+            log.unreachable(attempt);
             sendToNextTarget();
             return;
         }
@@ -260,12 +249,7 @@
         if (failedTarget.isEmpty() && head.status().code() == TargetStatus.MISDIRECTED) {
             forwarder.targets().recordFailure(attempt.target(), now);
         }
-        forwarder
-                .log(Category.FAILURE, "not-executed", this)
-                .with("target", attempt.target().target())
-                .with("status", head.status().code())
-                .with("faulty", failedAddress)
-                .write();
+        log.notExecuted(attempt, head.status().code(), failedAddress);
         if (ended) {
             return;
         }
@@ -296,11 +280,7 @@
      */
     void onFailedResponse(ForwardingAttempt attempt, HttpResponse head) {
         forwarder.targets().recordFailure(attempt.target(), GatewayClock.now());
-        forwarder
-                .log(Category.FAILURE, "failed-answer", this)
-                .with("target", attempt.target().target())
-                .with("status", head.status().code())
-                .write();
+        log.failedResponse(attempt, head.status().code());
         forwarder.spendBudget(admitted, GatewayClock.now());
         sendToNextTarget();
     }
@@ -315,17 +295,7 @@
     void onLost(ForwardingAttempt attempt, String reason) {
         long now = GatewayClock.now();
         forwarder.targets().recordFailure(attempt.target(), now);
-        forwarder
-                .log(Category.FAILURE, "lost", this)
-                .with("target", attempt.target().target())
-                .with("reason", reason)
-                .with("afterMs", now - attempt.startedAt())
-                .with("events", framer.eventCount())
-                .with("attemptEvents", framer.eventCount() - attempt.eventsBefore())
-                .with(
-                        "promptParts",
-                        promptParts.stream().limit(MAX_LOGGED_PARTS).toList())
-                .write();
+        log.lost(attempt, reason, framer.eventCount(), now);
         framer.discardPartialEvent();
         if (ended) {
             return;
@@ -393,7 +363,9 @@
         responding = true;
         timeToFirstByteMillis = GatewayClock.now() - request.arrivedAt();
         responder.head(head.status(), forwarder.dispatcher().responseHeaders(head.headers()), length);
-        forwarder.onResponseBegin(this, attempt, GatewayClock.now());
+        long now = GatewayClock.now();
+        forwarder.onResponseBegin(this, now);
+        log.firstByte(attempt, request.arrivedAt(), now);
     }
 
     /**
@@ -478,9 +450,7 @@
     private void finish(String event, Category category, String detail) {
         ended = true;
         deadlineTimer.cancel(false);
-        forwarder
-                .log(category, event, this)
-                .with("detail", detail)
+        log.summary(event, category, detail)
                 .with("sends", history.sends())
                 .with("events", framer.eventCount())
                 .with("firstMs", timeToFirstByteMillis)
@@ -490,22 +460,4 @@
                 .write();
         forwarder.onEnd(this, event);
     }
-
-    /**
-     * Adds the fields that identify the request to a line of the decision log.
-     *
-     * @param line the line to extend
-     * @return the same line
-     */
-    DecisionLog.Line describe(DecisionLog.Line line) {
-        return line.with("request", request.headers().get(dialect().requestId()))
-                .with("route", admitted.route().name())
-                .with("service", admitted.service().name())
-                .with(
-                        "account",
-                        admitted.account()
-                                .map(account -> account.name().value())
-                                .orElse(""))
-                .with("promptTokens", demand.promptTokens());
-    }
 }
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
@@ -247,13 +247,8 @@
                 targets.shortestPauseMillis(admitted.service().name(), now), hash);
     }
 
-    void onResponseBegin(ForwardedRequest forwarded, ForwardingAttempt attempt, long now) {
+    void onResponseBegin(ForwardedRequest forwarded, long now) {
         metrics.recordFirstByte(forwarded.demand(), now - forwarded.request().arrivedAt());
-        log(Category.ROUTINE, "first", forwarded)
-                .with("target", attempt.target().target())
-                .with("afterMs", now - attempt.startedAt())
-                .with("sinceArrivalMs", now - forwarded.request().arrivedAt())
-                .write();
     }
 
     void onEnd(ForwardedRequest forwarded, String outcome) {
@@ -263,16 +258,8 @@
         openRequests--;
     }
 
-    /**
-     * Creates a line of the decision log that identifies a request.
-     *
-     * @param category category of the line
-     * @param event name of the decision
-     * @param forwarded the request that the decision concerns
-     * @return the line, to be completed and written by the caller
-     */
-    DecisionLog.Line log(Category category, String event, ForwardedRequest forwarded) {
-        return forwarded.describe(log.line(category, event));
+    DecisionLog decisionLog() {
+        return log;
     }
 
     Dialect dialect() {
