Keep prompts from engines once a part of them has ended several

Cause: a gateway remembers how targets do, never what a request does to them. Each request whose prompt ends the engine is sent on, and again to a second engine; nothing tells the next request, at this or another gateway, about the last one.

Ruled out: load, resets of connections.

Change: gateways record which prompt parts were unanswered, or just begun, at an engine whose connection ended, exchange this with their load reports, and attribute the ends to parts (CrashAttribution). A part is refused as not run after three ends if no response was generated on it before, after six otherwise.

Tried and dropped: parts ordered by the number of ends only (twoCausesAreBothFound: the part that all prompts share was blamed for two causes); one flag for ends with a known cause (aGatewayThatStartsLearnsOfTheQuarantine: a gateway that started forgot them as unexplained); a fresh attribution that replaces the suspects others know.

--- a/gateway/src/main/java/org/bamboohatch/gateway/GatewayModule.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/GatewayModule.java
@@ -15,6 +15,7 @@
 import org.bamboohatch.gateway.forward.Forwarder;
 import org.bamboohatch.gateway.load.LoadExchange;
 import org.bamboohatch.gateway.load.LoadTracker;
+import org.bamboohatch.gateway.quarantine.PromptQuarantine;
 import org.bamboohatch.gateway.target.LeavingTargets;
 import org.bamboohatch.kernel.event.Timeline;
 import org.bamboohatch.protocol.client.ControlClient;
@@ -73,8 +74,9 @@
             FleetStore store,
             LoadTracker loadTracker,
             LeavingTargets leavingTargets,
+            PromptQuarantine quarantine,
             GatewayMetrics metrics) {
-        return new Forwarder(settings, dialect, loop, store, loadTracker, leavingTargets, metrics);
+        return new Forwarder(settings, dialect, loop, store, loadTracker, leavingTargets, quarantine, metrics);
     }
 
     @Provides
@@ -83,11 +85,21 @@
         return new LeavingTargets();
     }
 
+    @Provides
+    @Singleton
+    static PromptQuarantine promptQuarantine(GatewaySettings settings) {
+        return new PromptQuarantine(settings.promptQuarantineMillis());
+    }
+
     @Provides
     @Singleton
     static LoadExchange loadExchange(
-            GatewaySettings settings, LoadTracker loadTracker, LeavingTargets leavingTargets, EventLoop loop) {
-        return new LoadExchange(settings, loadTracker, leavingTargets, loop);
+            GatewaySettings settings,
+            LoadTracker loadTracker,
+            LeavingTargets leavingTargets,
+            PromptQuarantine quarantine,
+            EventLoop loop) {
+        return new LoadExchange(settings, loadTracker, leavingTargets, quarantine, loop);
     }
 
     @Provides
--- a/gateway/src/main/java/org/bamboohatch/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/GatewaySettings.java
@@ -20,6 +20,8 @@
  * @param retryReserve retries per window and service beyond those that requests add, for all gateways together
  * @param retryWindowMillis window of the retry budget, in milliseconds
  * @param memoryLeaseMillis lease of memory that is reserved at an engine for a prompt, in milliseconds
+ * @param promptQuarantineMillis time for which the crash of an engine counts against the prompt part that caused it; requests
+ *     with a part are refused while several crashes count against it, in milliseconds
  * @param stopMillis maximum time from the signal to stop until the process stops serving requests, in milliseconds
  */
 public record GatewaySettings(
@@ -79,6 +81,14 @@
                 fallback = "3500")
         long memoryLeaseMillis,
 
+        @Setting(
+                description = "time after the crashes of engines for which the prompt part that caused them is refused",
+                unit = "milliseconds",
+                min = 1_000,
+                max = 86_400_000,
+                fallback = "" + DEFAULT_PROMPT_QUARANTINE_MS)
+        long promptQuarantineMillis,
+
         @Setting(
                 description = "maximum time from the stop signal until the process stops serving requests",
                 unit = "milliseconds",
@@ -87,6 +97,9 @@
                 fallback = "30000")
         long stopMillis) {
 
+    /** Default of {@link #promptQuarantineMillis}. */
+    public static final long DEFAULT_PROMPT_QUARANTINE_MS = 600_000;
+
     /** Copies the list. */
     public GatewaySettings {
         control = List.copyOf(control);
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardedRequest.java
@@ -1,5 +1,6 @@
 package org.bamboohatch.gateway.forward;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -14,6 +15,7 @@
 import org.bamboohatch.gateway.http.CallerRequestHandler;
 import org.bamboohatch.gateway.http.InboundRequest;
 import org.bamboohatch.gateway.http.Responder;
+import org.bamboohatch.gateway.quarantine.PromptQuarantine;
 import org.bamboohatch.gateway.target.HttpTargetConnection;
 import org.bamboohatch.kernel.id.PromptPartId;
 import org.bamboohatch.kernel.id.TargetName;
@@ -36,8 +38,7 @@
 
     private final Demand demand;
 
-    /** Parts of the prompt that other requests may have in common with this one, in the order of the prompt. */
-    private final List<PromptPartId> promptParts;
+    private final PromptMonitor promptMonitor;
 
     private final RequestLog log;
 
@@ -76,7 +77,8 @@
         this.admitted = admitted;
         this.demand = demand;
         Dialect dialect = forwarder.dialect();
-        this.promptParts = PromptParts.shared(request.headers().get(dialect.promptParts()));
+        List<PromptPartId> promptParts = PromptParts.shared(request.headers().get(dialect.promptParts()));
+        this.promptMonitor = new PromptMonitor(forwarder.quarantine(), forwarder.targets(), promptParts);
         String requestId = request.headers().get(dialect.requestId());
         this.log = new RequestLog(forwarder.decisionLog(), requestId, admitted, demand, promptParts);
     }
@@ -105,6 +107,10 @@
         return framer;
     }
 
+    PromptMonitor promptMonitor() {
+        return promptMonitor;
+    }
+
     Dialect dialect() {
         return forwarder.dialect();
     }
@@ -116,6 +122,11 @@
     /** Places the request at the currently best targets and begins an attempt there. */
     private void sendToNextTarget() {
         long now = GatewayClock.now();
+        Optional<PromptQuarantine.Entry> quarantined = promptMonitor.findQuarantined(now);
+        if (quarantined.isPresent()) {
+            giveUpQuarantined(now, quarantined.get());
+            return;
+        }
         Optional<AttemptResources> chosen = forwarder.dispatcher().place(admitted, demand, history.excluded(), now);
         if (chosen.isEmpty()) {
             giveUp(now, "no target left");
@@ -189,14 +200,16 @@
 
     /**
      * Sends the request, unless it has become pointless since it was placed. After a stall of the process, the caller may
-     * have disconnected, the deadline may have passed or the target may have asked for no more requests.
+     * have disconnected, the deadline may have passed, the target may have asked for no more requests, or the prompt may
+     * have been found to end engines.
      *
      * @param attempt the attempt; may have been cancelled meanwhile
      * @param connection the open connection to the target
      */
     private void send(ForwardingAttempt attempt, HttpTargetConnection connection) {
         long now = GatewayClock.now();
-        boolean accepted = forwarder.targets().acceptsRequests(attempt.target(), now);
+        boolean accepted = forwarder.targets().acceptsRequests(attempt.target(), now)
+                && promptMonitor.findQuarantined(now).isEmpty();
         if (attempt.isEnded() || !responder.isConnected() || now >= admitted.deadline() || !accepted) {
             forwarder.pool().returnUnused(connection, now);
             withdraw(attempt, now);
@@ -393,6 +406,26 @@
      * @param reason the reason, for the caller and the decision log
      */
     private void giveUp(long now, String reason) {
+        Refusal refusal = Refusal.notRun(ErrorCode.NO_TARGET, "No target took the request: " + reason + ".")
+                .withRetryAfter(forwarder.returnDelay(request, admitted, now));
+        giveUp(now, reason, refusal);
+    }
+
+    private void giveUpQuarantined(long now, PromptQuarantine.Entry entry) {
+        String reason = "part " + entry.part() + " of the prompt has ended engines";
+        Refusal refusal = Refusal.notRun(ErrorCode.PROMPT_QUARANTINED, "No target gets the request: " + reason + ".")
+                .withRetryAfter(Duration.ofMillis(entry.until() - now));
+        giveUp(now, reason, refusal);
+    }
+
+    /**
+     * Ends the request without a complete response of a target.
+     *
+     * @param now current time, in milliseconds
+     * @param reason the reason, for the caller and the decision log
+     * @param refusal the response if no target has run the request
+     */
+    private void giveUp(long now, String reason, Refusal refusal) {
         if (ended) {
             return;
         }
@@ -406,8 +439,7 @@
                     .withOutcome(RunOutcome.UNKNOWN));
             finish("failed", Category.FAILURE, reason);
         } else {
-            responder.refuse(Refusal.notRun(ErrorCode.NO_TARGET, "No target took the request: " + reason + ".")
-                    .withRetryAfter(forwarder.returnDelay(request, admitted, now)));
+            responder.refuse(refusal);
             finish("refused", Category.FAILURE, reason);
         }
     }
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
@@ -19,6 +19,7 @@
 import org.bamboohatch.gateway.http.InboundRequest;
 import org.bamboohatch.gateway.http.Responder;
 import org.bamboohatch.gateway.load.LoadTracker;
+import org.bamboohatch.gateway.quarantine.PromptQuarantine;
 import org.bamboohatch.gateway.target.LeavingTargets;
 import org.bamboohatch.gateway.target.TargetAddress;
 import org.bamboohatch.gateway.target.TargetConnectionPool;
@@ -53,6 +54,8 @@
 
     private final TargetCatalog targets;
 
+    private final PromptQuarantine quarantine;
+
     /** Retry budgets by service. */
     private final Map<ServiceName, SharedRetryBudget> budgets = new HashMap<>();
 
@@ -74,6 +77,7 @@
      * @param configuration this gateway's copy of the configuration and the membership
      * @param loadTracker load of the targets
      * @param leavingTargets the targets that are about to end
+     * @param quarantine the prompt parts that end engines
      * @param metrics counters and histograms of this gateway
      */
     public Forwarder(
@@ -83,8 +87,10 @@
             FleetViewSource configuration,
             LoadTracker loadTracker,
             LeavingTargets leavingTargets,
+            PromptQuarantine quarantine,
             GatewayMetrics metrics) {
         this.metrics = metrics;
+        this.quarantine = quarantine;
         this.settings = settings;
         this.dialect = dialect;
         this.loop = loop;
@@ -278,6 +284,10 @@
         return dispatcher;
     }
 
+    PromptQuarantine quarantine() {
+        return quarantine;
+    }
+
     TargetCatalog targets() {
         return targets;
     }
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardingAttempt.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardingAttempt.java
@@ -11,6 +11,7 @@
 import io.netty.util.concurrent.Future;
 import org.bamboohatch.gateway.GatewayClock;
 import org.bamboohatch.gateway.target.HttpTargetConnection;
+import org.bamboohatch.gateway.target.LossCause;
 import org.bamboohatch.gateway.target.ResponseListener;
 import org.bamboohatch.gateway.target.TargetAddress;
 
@@ -31,6 +32,9 @@
 
     private static final String EVENT_STREAM = "text/event-stream";
 
+    /** Time for which a target must generate a response to show that the prompt does not end it, in milliseconds. */
+    private static final long PROVEN_GENERATION_MS = 500;
+
     private final ForwardedRequest forwarded;
 
     private final AttemptResources resources;
@@ -59,6 +63,12 @@
      */
     private long lastActivityAt;
 
+    /** Time of the first event of this attempt, in milliseconds; zero before it. */
+    private long firstEventAt;
+
+    /** Whether it was recorded that the target generates on the prompt. */
+    private boolean generationRecorded;
+
     /** The scheduled check for an idle target. */
     private Future<?> idleCheck;
 
@@ -176,6 +186,7 @@
     public void onHead(HttpResponse head) {
         response = head;
         lastActivityAt = GatewayClock.now();
+        forwarded.promptMonitor().recordActivity(target(), lastActivityAt);
         boolean success = head.status().codeClass() == HttpStatusClass.SUCCESS;
         boolean sealed = head.headers().contains(forwarded.dialect().seal());
         boolean encoded = head.headers().contains(HttpHeaderNames.CONTENT_ENCODING);
@@ -221,8 +232,13 @@
         long now = GatewayClock.now();
         long progressBefore = forwarded.framer().progress();
         byte[] events = forwarded.framer().append(part, now);
+        forwarded.promptMonitor().recordActivity(target(), now);
         if (forwarded.framer().progress() > progressBefore) {
             lastActivityAt = now;
+            firstEventAt = firstEventAt == 0 ? now : firstEventAt;
+            if (now - firstEventAt >= PROVEN_GENERATION_MS) {
+                recordGeneration(now);
+            }
         }
         if (events.length > 0) {
             resources.beginDecoding();
@@ -234,6 +250,13 @@
         }
     }
 
+    private void recordGeneration(long now) {
+        if (!generationRecorded) {
+            generationRecorded = true;
+            forwarded.promptMonitor().recordGeneration(now);
+        }
+    }
+
     private void discard(ByteBuf part) {
         discardedBytes += part.readableBytes();
         if (discardedBytes > MAX_DISCARDED_BYTES) {
@@ -282,6 +305,7 @@
         }
         if (modeAtEnd == Mode.EVENTS && forwarded.framer().hasPartialEvent()) {
             end();
+            reportCrash();
             forwarded.onLost(this, "stream ended within an event");
             return;
         }
@@ -293,20 +317,37 @@
             }
         }
         end();
-        if (modeAtEnd != Mode.DISCARD) {
-            forwarded.onResponseEnd(this, response);
+        if (modeAtEnd == Mode.DISCARD) {
+            return;
         }
+        boolean generated = modeAtEnd != Mode.EVENTS || firstEventAt > 0;
+        if (generated && response.status().codeClass() == HttpStatusClass.SUCCESS) {
+            recordGeneration(GatewayClock.now());
+        }
+        forwarded.onResponseEnd(this, response);
     }
 
     @Override
-    public void onLost(String reason) {
+    public void onLost(LossCause cause) {
         boolean discarded = mode == Mode.DISCARD;
         if (mode == Mode.ENDED) {
             return;
         }
         end();
-        if (!discarded) {
-            forwarded.onLost(this, reason);
+        if (discarded) {
+            return;
+        }
+        if (cause.isConnectionEnded()) {
+            reportCrash();
+        }
+        forwarded.onLost(this, cause.reason());
+    }
+
+    /** Reports that the target has ended the connection, if the request may be the reason. */
+    private void reportCrash() {
+        long now = GatewayClock.now();
+        if (firstEventAt == 0 || now - firstEventAt < PROVEN_GENERATION_MS) {
+            forwarded.promptMonitor().recordCrash(target(), now);
         }
     }
 
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/MemoryCommandSender.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/MemoryCommandSender.java
@@ -17,6 +17,7 @@
 import org.bamboohatch.gateway.GatewayClock;
 import org.bamboohatch.gateway.forward.MemoryReservation.Reply;
 import org.bamboohatch.gateway.target.HttpTargetConnection;
+import org.bamboohatch.gateway.target.LossCause;
 import org.bamboohatch.gateway.target.ResponseListener;
 import org.bamboohatch.gateway.target.TargetAddress;
 import org.bamboohatch.gateway.target.TargetConnectionPool;
@@ -152,7 +153,7 @@
         }
 
         @Override
-        public void onLost(String reason) {
+        public void onLost(LossCause cause) {
             finish(Reply.UNANSWERED);
         }
 
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetCatalog.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetCatalog.java
@@ -184,7 +184,11 @@
      * @return whether it is neither leaving nor paused
      */
     boolean acceptsRequests(TargetAddress address, long now) {
-        return !leaving.contains(address) && !availability(address).isPaused(now);
+        return !isLeaving(address) && !availability(address).isPaused(now);
+    }
+
+    boolean isLeaving(TargetAddress address) {
+        return leaving.contains(address);
     }
 
     /**
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/GatewayLoad.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/GatewayLoad.java
@@ -1,15 +1,19 @@
 package org.bamboohatch.gateway.load;
 
 import java.util.List;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.annotation.JsonPropertyOrder;
+import org.bamboohatch.kernel.id.PromptPartId;
 import org.bamboohatch.kernel.id.TargetIncarnation;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.id.ZoneName;
 import org.bamboohatch.protocol.message.Message;
 import org.bamboohatch.protocol.message.MessageCatalog;
 import org.bamboohatch.routing.fleet.Workload;
+import org.bamboohatch.routing.quarantine.EngineCrash;
 
 /**
  * Load report that a gateway sends to another gateway. Reports may be lost or overtake each other.
@@ -20,15 +24,29 @@
  * @param number number of the report, increasing from one report to the next
  * @param targets the gateway's load by target; targets that are not named are unchanged
  * @param leaving targets that are about to end
+ * @param crashes engines that have presumably crashed
+ * @param generated suspected prompt parts on which responses were generated
  */
 public record GatewayLoad(
-        String gateway, ZoneName zone, long start, long number, List<TargetWork> targets, List<LeavingTarget> leaving)
+        String gateway,
+        ZoneName zone,
+        long start,
+        long number,
+        List<TargetWork> targets,
+        List<LeavingTarget> leaving,
+        List<Crash> crashes,
+        List<GeneratedPart> generated)
         implements Message {
 
-    /** Copies the lists. */
+    /** Suspects in one piece of a crash, so that several pieces fit into a datagram. */
+    private static final int SUSPECTS_PER_PIECE = 16;
+
+    /** Copies the lists; those that the build of the sender does not know yet are empty. */
     public GatewayLoad {
         targets = List.copyOf(targets);
         leaving = List.copyOf(leaving);
+        crashes = crashes == null ? List.of() : List.copyOf(crashes);
+        generated = generated == null ? List.of() : List.copyOf(generated);
     }
 
     /**
@@ -50,6 +68,59 @@
         }
     }
 
+    /**
+     * Presumed crash of an engine. Clocks of hosts differ, so reports carry ages instead of times.
+     *
+     * @param target name of the engine
+     * @param incarnation number of the incarnation that ended
+     * @param ageMillis time since the crash, in milliseconds
+     * @param suspects prompt parts that may have caused it; a crash with many is reported in several pieces
+     * @param state certainty about the cause
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    @JsonPropertyOrder({"target", "incarnation", "ageMillis", "suspects", "state"})
+    public record Crash(
+            TargetName target, long incarnation, long ageMillis, List<PromptPartId> suspects, EngineCrash.State state) {
+
+        /** Copies the list. */
+        public Crash {
+            suspects = List.copyOf(suspects);
+        }
+
+        /**
+         * Converts a crash for a report.
+         *
+         * @param crash the crash
+         * @param now current time, in milliseconds
+         * @return pieces with at most {@value #SUSPECTS_PER_PIECE} suspects each
+         */
+        static Stream<Crash> of(EngineCrash crash, long now) {
+            TargetIncarnation engine = crash.engine();
+            int size = crash.suspects().size();
+            return IntStream.iterate(0, start -> start == 0 || start < size, start -> start + SUSPECTS_PER_PIECE)
+                    .mapToObj(start -> new Crash(
+                            engine.target(),
+                            engine.number(),
+                            now - crash.at(),
+                            crash.suspects().subList(start, Math.min(size, start + SUSPECTS_PER_PIECE)),
+                            crash.state()));
+        }
+
+        EngineCrash toEngineCrash(long now) {
+            return new EngineCrash(new TargetIncarnation(target, incarnation), now - ageMillis, suspects, state);
+        }
+    }
+
+    /**
+     * A prompt part on which a response was generated.
+     *
+     * @param part the part
+     * @param ageMillis time since the last response, in milliseconds
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    @JsonPropertyOrder({"part", "ageMillis"})
+    public record GeneratedPart(PromptPartId part, long ageMillis) {}
+
     /**
      * Load at one target. Numbers are rounded and encoded as an array to keep reports small.
      *
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -25,6 +26,8 @@
 import org.apache.logging.log4j.Logger;
 import org.bamboohatch.gateway.GatewayClock;
 import org.bamboohatch.gateway.GatewaySettings;
+import org.bamboohatch.gateway.quarantine.PromptQuarantine;
+import org.bamboohatch.gateway.quarantine.PromptQuarantine.Observations;
 import org.bamboohatch.gateway.target.LeavingTargets;
 import org.bamboohatch.kernel.id.TargetIncarnation;
 import org.bamboohatch.kernel.id.TargetName;
@@ -42,9 +45,12 @@
 
     private static final Logger LOGGER = LogManager.getLogger(LoadExchange.class);
 
-    /** Targets in one datagram, so that it fits into a packet of a usual network. */
+    /** Targets or prompt parts in one datagram, so that it fits into a packet of a usual network. */
     private static final int TARGETS_PER_REPORT = 24;
 
+    /** Pieces of crashes in one datagram, each with several suspects. */
+    private static final int CRASHES_PER_REPORT = 4;
+
     /** Time for which a leaving target is named in each report of all load, as reports may be lost, in milliseconds. */
     private static final long LEAVING_REPEAT_MS = 5_000;
 
@@ -54,6 +60,8 @@
 
     private final LeavingTargets leavingTargets;
 
+    private final PromptQuarantine quarantine;
+
     private final EventLoop loop;
 
     /** Random number of this start of the process. */
@@ -71,6 +79,12 @@
     /** Changes to report to gateways in other zones. */
     private final LoadTracker.PendingReport farReport;
 
+    /** Crashes to report to gateways of the same zone, or of a zone that is not known yet. */
+    private final PromptQuarantine.PendingReport nearObservations;
+
+    /** Crashes to report to gateways in other zones. */
+    private final PromptQuarantine.PendingReport farObservations;
+
     /** Leaving targets to report to gateways in other zones. */
     private final Set<TargetIncarnation> farLeaving = new LinkedHashSet<>();
 
@@ -81,6 +95,16 @@
     /** The socket, or null while the exchange is stopped. */
     private Channel socket;
 
+    /**
+     * Content of a report.
+     *
+     * @param workloads the load by target
+     * @param leaving targets that are about to end
+     * @param observations crashes of engines and the prompt parts that are suspected of them
+     */
+    private record Content(
+            Map<TargetName, Workload> workloads, List<TargetIncarnation> leaving, Observations observations) {}
+
     /** Zone and last report of another gateway. */
     private static final class Peer {
 
@@ -99,16 +123,24 @@
      * @param settings settings of this gateway
      * @param loadTracker load of the targets
      * @param leavingTargets the targets that are about to end
+     * @param quarantine the prompt parts that end engines
      * @param loop the event loop that serves all callers
      */
     public LoadExchange(
-            GatewaySettings settings, LoadTracker loadTracker, LeavingTargets leavingTargets, EventLoop loop) {
+            GatewaySettings settings,
+            LoadTracker loadTracker,
+            LeavingTargets leavingTargets,
+            PromptQuarantine quarantine,
+            EventLoop loop) {
         this.settings = settings;
         this.loadTracker = loadTracker;
         this.leavingTargets = leavingTargets;
+        this.quarantine = quarantine;
         this.loop = loop;
         this.nearReport = loadTracker.newReport();
         this.farReport = loadTracker.newReport();
+        this.nearObservations = quarantine.newReport();
+        this.farObservations = quarantine.newReport();
     }
 
     @Override
@@ -156,10 +188,10 @@
      */
     private void sendReports(long now) {
         boolean completeDue = now - lastCompleteReportAt >= ReportSchedule.COMPLETE_INTERVAL_MS;
-        List<InetSocketAddress> near = new ArrayList<>();
-        List<InetSocketAddress> far = new ArrayList<>();
-        peers.forEach((address, peer) -> (isFar(peer) ? far : near).add(address));
-        boolean farDue = completeDue || now - lastFarReportAt >= ReportSchedule.farIntervalMillis(far.size());
+        List<InetSocketAddress> nearPeers = new ArrayList<>();
+        List<InetSocketAddress> farPeers = new ArrayList<>();
+        peers.forEach((address, peer) -> (isFar(peer) ? farPeers : nearPeers).add(address));
+        boolean farDue = completeDue || now - lastFarReportAt >= ReportSchedule.farIntervalMillis(farPeers.size());
         List<TargetIncarnation> nearLeaving = leavingTargets.takeUnreported();
         farLeaving.addAll(nearLeaving);
         if (completeDue) {
@@ -168,18 +200,33 @@
             nearLeaving = leavingTargets.addedSince(now - LEAVING_REPEAT_MS);
             farLeaving.addAll(nearLeaving);
         }
-        if (completeDue || nearReport.hasChanges() || !nearLeaving.isEmpty()) {
-            send(near, completeDue ? nearReport.takeAll() : nearReport.takeChanges(), nearLeaving);
+        Observations near = observations(nearObservations, completeDue, now);
+        if (completeDue || nearReport.hasChanges() || !nearLeaving.isEmpty() || !near.isEmpty()) {
+            send(
+                    nearPeers,
+                    new Content(completeDue ? nearReport.takeAll() : nearReport.takeChanges(), nearLeaving, near),
+                    now);
         }
         if (farDue) {
             lastFarReportAt = now;
-            if (completeDue || farReport.hasChanges() || !farLeaving.isEmpty()) {
-                send(far, completeDue ? farReport.takeAll() : farReport.takeChanges(), List.copyOf(farLeaving));
+            Observations far = observations(farObservations, completeDue, now);
+            if (completeDue || farReport.hasChanges() || !farLeaving.isEmpty() || !far.isEmpty()) {
+                send(
+                        farPeers,
+                        new Content(
+                                completeDue ? farReport.takeAll() : farReport.takeChanges(),
+                                List.copyOf(farLeaving),
+                                far),
+                        now);
                 farLeaving.clear();
             }
         }
     }
 
+    private static Observations observations(PromptQuarantine.PendingReport pending, boolean complete, long now) {
+        return complete ? pending.takeAll(now) : pending.takeChanges();
+    }
+
     private boolean isFar(Peer peer) {
         return peer.zone != null && !peer.zone.equals(settings.zone());
     }
@@ -188,23 +235,30 @@
      * Sends a report, in several datagrams if it is long.
      *
      * @param receivers addresses of the receivers
-     * @param workloads the load by target
-     * @param leaving targets that are about to end
+     * @param content what to report
+     * @param now current time, in milliseconds
      */
-    private void send(
-            List<InetSocketAddress> receivers, Map<TargetName, Workload> workloads, List<TargetIncarnation> leaving) {
+    private void send(List<InetSocketAddress> receivers, Content content, long now) {
         if (receivers.isEmpty()) {
             return;
         }
-        List<GatewayLoad.TargetWork> targets = workloads.entrySet().stream()
+        List<GatewayLoad.TargetWork> targets = content.workloads().entrySet().stream()
                 .map(target -> GatewayLoad.TargetWork.of(target.getKey(), target.getValue()))
                 .toList();
-        List<GatewayLoad.LeavingTarget> leavingParts =
-                leaving.stream().map(GatewayLoad.LeavingTarget::of).toList();
-        int position = 0;
-        do {
-            int end = Math.min(targets.size(), position + TARGETS_PER_REPORT);
-            int leavingEnd = Math.min(leavingParts.size(), position + TARGETS_PER_REPORT);
+        List<GatewayLoad.LeavingTarget> leaving =
+                content.leaving().stream().map(GatewayLoad.LeavingTarget::of).toList();
+        List<GatewayLoad.Crash> crashes = content.observations().crashes().stream()
+                .flatMap(crash -> GatewayLoad.Crash.of(crash, now))
+                .toList();
+        List<GatewayLoad.GeneratedPart> generated = content.observations().generatedAt().entrySet().stream()
+                .map(part -> new GatewayLoad.GeneratedPart(part.getKey(), now - part.getValue()))
+                .toList();
+        int datagrams = Math.max(
+                Math.max(1, pages(crashes, CRASHES_PER_REPORT)),
+                Math.max(
+                        pages(generated, TARGETS_PER_REPORT),
+                        Math.max(pages(targets, TARGETS_PER_REPORT), pages(leaving, TARGETS_PER_REPORT))));
+        for (int datagram = 0; datagram < datagrams; datagram++) {
             lastNumber++;
             byte[] report = MessageCodec.instance()
                     .encode(new GatewayLoad(
@@ -212,14 +266,24 @@
                             settings.zone(),
                             start,
                             lastNumber,
-                            targets.subList(Math.min(position, end), end),
-                            leavingParts.subList(Math.min(position, leavingEnd), leavingEnd)));
+                            page(targets, datagram, TARGETS_PER_REPORT),
+                            page(leaving, datagram, TARGETS_PER_REPORT),
+                            page(crashes, datagram, CRASHES_PER_REPORT),
+                            page(generated, datagram, TARGETS_PER_REPORT)));
             receivers.forEach(receiver -> socket.write(new DatagramPacket(Unpooled.wrappedBuffer(report), receiver)));
-            position += TARGETS_PER_REPORT;
-        } while (position < Math.max(targets.size(), leavingParts.size()));
+        }
         socket.flush();
     }
 
+    private static int pages(List<?> elements, int pageSize) {
+        return (elements.size() + pageSize - 1) / pageSize;
+    }
+
+    private static <T> List<T> page(List<T> elements, int number, int pageSize) {
+        int begin = Math.min(elements.size(), number * pageSize);
+        return elements.subList(begin, Math.min(elements.size(), begin + pageSize));
+    }
+
     /**
      * Applies a report, unless it was overtaken by a later one.
      *
@@ -238,6 +302,15 @@
         report.targets().forEach(target -> workloads.put(target.target(), target.toWorkload()));
         loadTracker.applyReport(report.gateway(), workloads, now);
         report.leaving().forEach(target -> leavingTargets.addReported(target.toIncarnation(), now));
+        quarantine.apply(
+                new Observations(
+                        report.crashes().stream()
+                                .map(crash -> crash.toEngineCrash(now))
+                                .toList(),
+                        report.generated().stream()
+                                .collect(Collectors.toMap(
+                                        GatewayLoad.GeneratedPart::part, part -> now - part.ageMillis(), Math::max))),
+                now);
     }
 
     /** Receives the reports of other gateways. What others send is dropped unread. */
--- a/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
@@ -199,7 +199,7 @@
             }
             if (listener == null || unrelatedBytes > MAX_UNRELATED_BYTES) {
                 ReferenceCountUtil.release(message);
-                loseResponse("too many bytes that are no answer");
+                loseResponse(LossCause.UNRELATED_BYTES);
             } else {
                 reading.fireChannelRead(message);
             }
@@ -226,7 +226,7 @@
 
     private void handleHead(HttpResponse response) {
         if (response.decoderResult().isFailure()) {
-            loseResponse("malformed answer");
+            loseResponse(LossCause.MALFORMED);
             return;
         }
         pool.observe(address, response);
@@ -280,11 +280,11 @@
             return;
         }
         if (content.decoderResult().isFailure()) {
-            loseResponse("malformed answer");
+            loseResponse(LossCause.MALFORMED);
             return;
         }
         if (last && failed) {
-            loseResponse("reset");
+            loseResponse(LossCause.RESET);
             return;
         }
         if (content.content().isReadable()) {
@@ -313,14 +313,14 @@
     /**
      * Closes the connection, and reports the loss of the response if a request is in progress.
      *
-     * @param reason short description of the cause
+     * @param cause the cause
      */
-    private void loseResponse(String reason) {
+    private void loseResponse(LossCause cause) {
         ResponseListener lost = listener;
         listener = null;
         channel.close();
         if (lost != null) {
-            lost.onLost(reason);
+            lost.onLost(cause);
         }
     }
 
@@ -336,6 +336,6 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         pool.onClosed(this);
-        loseResponse(headReceived ? "cut within the answer" : failed ? "reset" : "closed");
+        loseResponse(headReceived ? LossCause.CUT : failed ? LossCause.RESET : LossCause.CLOSED);
     }
 }
--- a/gateway/src/main/java/org/bamboohatch/gateway/target/ResponseListener.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/ResponseListener.java
@@ -26,7 +26,7 @@
     /**
      * Invoked when the connection has ended before the response was complete. The request may have run.
      *
-     * @param reason short description of the cause
+     * @param cause the cause
      */
-    void onLost(String reason);
+    void onLost(LossCause cause);
 }
--- a/gateway/src/test/java/org/bamboohatch/gateway/configuration/FleetStoreTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/configuration/FleetStoreTest.java
@@ -74,6 +74,7 @@
                 50,
                 10_000,
                 3_500,
+                60_000,
                 1_000);
         ControlClient control = new ControlClient(network, List.of(address), Duration.ofSeconds(5));
         FleetStore store = new FleetStore(settings, control, network, () -> List.of(address));
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/CrashingPromptTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/CrashingPromptTest.java
@@ -32,6 +32,9 @@
     /** Engines that may end before gateways must have found the part. */
     private static final int ENDED_ENGINES = 5;
 
+    /** Requests after which no engine is expected to end any more. */
+    private static final int MOST_REQUESTS = 40;
+
     /** Time after that within which all gateways must know, in milliseconds. */
     private static final long CONTACT_MS = 3_000;
 
@@ -88,9 +91,9 @@
         return gateway.call(request("POST", "/generate/x", "a" + lastId, headers, "prompt"));
     }
 
-    /** Sends requests with the part to both gateways in turn until enough engines have ended. */
+    /** Sends requests with the part to both gateways in turn until enough engines have ended, or the part is found. */
     private void callUntilEnginesEnd() throws IOException {
-        for (int number = 0; crashes.get() < ENDED_ENGINES; number++) {
+        for (int number = 0; crashes.get() < ENDED_ENGINES && number < MOST_REQUESTS; number++) {
             call(number % 2 == 0 ? first : second, "common:40," + CRASHING_PART + ":90,extra" + number + ":20,");
         }
     }
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
@@ -39,6 +39,7 @@
 import org.bamboohatch.gateway.http.CallerServer;
 import org.bamboohatch.gateway.load.LoadExchange;
 import org.bamboohatch.gateway.load.LoadTracker;
+import org.bamboohatch.gateway.quarantine.PromptQuarantine;
 import org.bamboohatch.gateway.target.LeavingTargets;
 import org.bamboohatch.kernel.id.AccountName;
 import org.bamboohatch.kernel.id.HostName;
@@ -102,12 +103,21 @@
                 50,
                 10_000,
                 3_500,
+                60_000,
                 1_000);
         LoadTracker loadTracker = new LoadTracker();
         LeavingTargets leavingTargets = new LeavingTargets();
+        PromptQuarantine quarantine = new PromptQuarantine(settings.promptQuarantineMillis());
         forwarder = new Forwarder(
-                settings, Dialect.DEFAULT, loop, this, loadTracker, leavingTargets, new GatewayMetrics(registry));
-        exchange = new LoadExchange(settings, loadTracker, leavingTargets, loop);
+                settings,
+                Dialect.DEFAULT,
+                loop,
+                this,
+                loadTracker,
+                leavingTargets,
+                quarantine,
+                new GatewayMetrics(registry));
+        exchange = new LoadExchange(settings, loadTracker, leavingTargets, quarantine, loop);
         exchange.start();
         callers = new CallerServer(new InetSocketAddress("127.0.0.1", port), loop, forwarder, () -> LIMITS);
         callers.start();
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/RepeatedCommandResponseTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/RepeatedCommandResponseTest.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import org.bamboohatch.gateway.GatewayClock;
+import org.bamboohatch.gateway.target.LossCause;
 import org.bamboohatch.gateway.target.ResponseListener;
 import org.bamboohatch.gateway.target.TargetAddress;
 import org.bamboohatch.gateway.target.TargetConnectionPool;
@@ -107,8 +108,8 @@
         }
 
         @Override
-        public void onLost(String reason) {
-            status.completeExceptionally(new IllegalStateException(reason));
+        public void onLost(LossCause cause) {
+            status.completeExceptionally(new IllegalStateException(cause.reason()));
         }
     }
 }
--- a/gateway/src/test/java/org/bamboohatch/gateway/load/LoadExchangeTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/load/LoadExchangeTest.java
@@ -12,6 +12,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import org.bamboohatch.gateway.GatewayClock;
 import org.bamboohatch.gateway.GatewaySettings;
+import org.bamboohatch.gateway.quarantine.PromptQuarantine;
 import org.bamboohatch.gateway.target.LeavingTargets;
 import org.bamboohatch.gateway.target.TargetAddress;
 import org.bamboohatch.kernel.id.HostName;
@@ -60,8 +61,9 @@
                     50,
                     10_000,
                     3_500,
+                    60_000,
                     1_000);
-            exchange = new LoadExchange(settings, loadTracker, leavingTargets, loop);
+            exchange = new LoadExchange(settings, loadTracker, leavingTargets, new PromptQuarantine(60_000), loop);
         }
     }
 
--- /dev/null
+++ b/gateway/src/test/java/org/bamboohatch/gateway/quarantine/PromptQuarantineTest.java
@@ -0,0 +1,163 @@
+package org.bamboohatch.gateway.quarantine;
+
+import java.util.List;
+
+import org.bamboohatch.kernel.id.PromptPartId;
+import org.bamboohatch.kernel.id.TargetIncarnation;
+import org.bamboohatch.kernel.id.TargetName;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Gateways together keep a part that ends engines from them, and let sound parts pass whatever is lost. */
+class PromptQuarantineTest {
+
+    private static final long DURATION_MS = 600_000;
+
+    private static final PromptPartId BAD = new PromptPartId("bad");
+
+    private static final PromptPartId COMMON = new PromptPartId("common");
+
+    private static final List<PromptPartId> BAD_PROMPT = List.of(COMMON, BAD);
+
+    private final PromptQuarantine first = new PromptQuarantine(DURATION_MS);
+
+    private final PromptQuarantine second = new PromptQuarantine(DURATION_MS);
+
+    private final PromptQuarantine.PendingReport firstReport = first.newReport();
+
+    private final PromptQuarantine.PendingReport secondReport = second.newReport();
+
+    private static TargetIncarnation engine(int number) {
+        return new TargetIncarnation(new TargetName("engine-" + number), 7);
+    }
+
+    private void exchange(long now) {
+        PromptQuarantine.Observations ofFirst = firstReport.takeChanges();
+        PromptQuarantine.Observations ofSecond = secondReport.takeChanges();
+        first.apply(ofSecond, now);
+        second.apply(ofFirst, now);
+    }
+
+    private static boolean refuses(PromptQuarantine quarantine, PromptPartId part, long now) {
+        return quarantine.find(List.of(part), now).isPresent();
+    }
+
+    /** Reports at intervals, as gateways do, and returns the last report of the first one. */
+    private PromptQuarantine.Observations reportUntil(long now) {
+        for (long time = 2_000; time < now; time += 10_000) {
+            firstReport.takeAll(time);
+        }
+        return firstReport.takeAll(now);
+    }
+
+    private void crash(int count, long from) {
+        for (int number = 0; number < count; number++) {
+            (number % 2 == 0 ? first : second).recordCrash(engine(number), BAD_PROMPT, from + number);
+        }
+    }
+
+    @Test
+    void crashesThatDifferentGatewaysSawAreAddedUp() {
+        first.recordGeneration(List.of(COMMON), 500);
+        crash(3, 1_000);
+        exchange(1_010);
+        exchange(1_020);
+        for (PromptQuarantine quarantine : List.of(first, second)) {
+            assertThat(refuses(quarantine, BAD, 1_100))
+                    .as("before others have reported")
+                    .isFalse();
+            assertThat(refuses(quarantine, BAD, 2_000)).isTrue();
+            assertThat(refuses(quarantine, COMMON, 2_000)).isFalse();
+        }
+    }
+
+    /** The first gateway alone knows that responses were generated on the part that all requests share. */
+    @Test
+    void responsesThatAnotherGatewaySawSpeakForAPart() {
+        first.recordGeneration(List.of(COMMON), 500);
+        for (int number = 0; number < 4; number++) {
+            second.recordCrash(engine(number), List.of(COMMON), 1_000 + number);
+        }
+        exchange(1_010);
+        exchange(1_020);
+        assertThat(refuses(second, COMMON, 2_000)).isFalse();
+    }
+
+    /** Connections are reset while the engines work on. */
+    @Test
+    void enginesThatAnswerHaveNotCrashed() {
+        crash(4, 1_000);
+        exchange(1_010);
+        for (int number = 0; number < 4; number++) {
+            second.recordActivity(engine(number), 1_150);
+        }
+        exchange(1_160);
+        assertThat(refuses(first, BAD, 2_000)).isFalse();
+        assertThat(refuses(second, BAD, 2_000)).isFalse();
+    }
+
+    /** Bytes that an engine sent before its end are read after it on another connection. */
+    @Test
+    void bytesThatWereUnderWayDoNotRefuteACrash() {
+        crash(3, 1_000);
+        for (int number = 0; number < 3; number++) {
+            first.recordActivity(engine(number), 1_020);
+        }
+        exchange(1_030);
+        assertThat(refuses(first, BAD, 2_000)).isTrue();
+    }
+
+    @Test
+    void aResponseReleasesAPart() {
+        crash(3, 1_000);
+        exchange(1_010);
+        assertThat(refuses(first, BAD, 2_000)).isTrue();
+        second.recordGeneration(List.of(BAD), 2_100);
+        assertThat(refuses(second, BAD, 2_200)).isFalse();
+        exchange(2_300);
+        assertThat(refuses(first, BAD, 2_400)).isFalse();
+    }
+
+    @Test
+    void aGatewayThatStartsLearnsOfTheQuarantine() {
+        crash(5, 1_000);
+        exchange(1_010);
+        assertThat(refuses(first, BAD, 2_000)).isTrue();
+        PromptQuarantine started = new PromptQuarantine(DURATION_MS);
+        started.apply(reportUntil(100_000), 100_000);
+        assertThat(refuses(started, BAD, 100_010)).isTrue();
+    }
+
+    @Test
+    void theQuarantineEnds() {
+        crash(3, 1_000);
+        exchange(1_010);
+        assertThat(refuses(first, BAD, 2_000)).isTrue();
+        reportUntil(980 + DURATION_MS);
+        assertThat(refuses(first, BAD, 990 + DURATION_MS)).isTrue();
+        assertThat(refuses(first, BAD, 1_002 + DURATION_MS)).isFalse();
+        assertThat(refuses(first, BAD, 10_000 + DURATION_MS)).isFalse();
+    }
+
+    /** Rare crashes of other causes would otherwise add up against a part on which nothing was generated yet. */
+    @Test
+    void crashesWithoutAKnownCauseAreForgotten() {
+        crash(2, 1_000);
+        exchange(1_010);
+        assertThat(refuses(first, BAD, 30_000)).isFalse();
+        first.recordCrash(engine(9), BAD_PROMPT, 5_000 + PromptQuarantine.UNEXPLAINED_EXPIRY_MS);
+        assertThat(refuses(first, BAD, 6_000 + PromptQuarantine.UNEXPLAINED_EXPIRY_MS))
+                .isFalse();
+    }
+
+    @Test
+    void reportsEndWhenNothingIsNew() {
+        crash(4, 1_000);
+        for (long now = 1_010; now < 1_100; now += 10) {
+            exchange(now);
+        }
+        assertThat(firstReport.takeChanges().isEmpty()).isTrue();
+        assertThat(secondReport.takeChanges().isEmpty()).isTrue();
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/org/bamboohatch/routing/quarantine/EngineCrash.java
@@ -0,0 +1,75 @@
+package org.bamboohatch.routing.quarantine;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.bamboohatch.kernel.id.PromptPartId;
+import org.bamboohatch.kernel.id.TargetIncarnation;
+
+/**
+ * The presumed crash of an engine: its connections ended while it answered requests.
+ *
+ * @param engine the incarnation that ended
+ * @param at time at which it ended, in milliseconds
+ * @param suspects prompt parts of the requests that the engine had not answered, or had just begun to answer; in the order
+ *     of the prompts
+ * @param state certainty about the cause
+ */
+public record EngineCrash(TargetIncarnation engine, long at, List<PromptPartId> suspects, State state) {
+
+    /** Certainty about the cause of a crash. */
+    public enum State {
+        /** Each of the suspects may be the cause. */
+        UNEXPLAINED,
+        /** The only suspect is the cause. */
+        ATTRIBUTED,
+        /** There was no crash: the engine has answered since, so only connections ended. */
+        REFUTED
+    }
+
+    /** Number of suspects that are considered; limits the memory that callers can occupy. */
+    private static final int MAX_SUSPECTS = 512;
+
+    /** Copies the list, without the suspects beyond the limit. */
+    public EngineCrash {
+        suspects = List.copyOf(suspects.subList(0, Math.min(MAX_SUSPECTS, suspects.size())));
+    }
+
+    /**
+     * Adds what another observer knows of the same crash. Its attribution is not adopted, as it may have known less.
+     *
+     * @param other the crash of the same incarnation as seen by the other observer
+     * @return this crash, with the suspects of both if neither knows the cause; refuted if either is
+     */
+    public EngineCrash merge(EngineCrash other) {
+        if (other.state == State.REFUTED) {
+            return refute();
+        }
+        if (state != State.UNEXPLAINED || other.state != State.UNEXPLAINED) {
+            return this;
+        }
+        Set<PromptPartId> union = new LinkedHashSet<>(suspects);
+        union.addAll(other.suspects);
+        return new EngineCrash(engine, at, List.copyOf(union), State.UNEXPLAINED);
+    }
+
+    /**
+     * Returns the crash after the engine has answered.
+     *
+     * @return the refuted crash, without suspects
+     */
+    public EngineCrash refute() {
+        return new EngineCrash(engine, at, List.of(), State.REFUTED);
+    }
+
+    /**
+     * Returns the crash once its cause is known.
+     *
+     * @param cause the part that ended the engine
+     * @return the crash with a single suspect
+     */
+    public EngineCrash attributeTo(PromptPartId cause) {
+        return new EngineCrash(engine, at, List.of(cause), State.ATTRIBUTED);
+    }
+}
--- /dev/null
+++ b/routing/src/test/java/org/bamboohatch/routing/quarantine/CrashAttributionTest.java
@@ -0,0 +1,103 @@
+package org.bamboohatch.routing.quarantine;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.bamboohatch.kernel.id.PromptPartId;
+import org.bamboohatch.kernel.id.TargetIncarnation;
+import org.bamboohatch.kernel.id.TargetName;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Crashes of engines are attributed to the part that all of them have in common, not to the parts beside it. */
+class CrashAttributionTest {
+
+    private static final PromptPartId BAD = new PromptPartId("bad");
+
+    private static final PromptPartId COMMON = new PromptPartId("common");
+
+    private static EngineCrash crash(int number, PromptPartId... suspects) {
+        TargetIncarnation engine = new TargetIncarnation(new TargetName("engine-" + number), 1);
+        return new EngineCrash(engine, 1_000 + number, List.of(suspects), EngineCrash.State.UNEXPLAINED);
+    }
+
+    private static List<EngineCrash> crashes(int count, PromptPartId... suspects) {
+        List<EngineCrash> crashes = new ArrayList<>();
+        for (int number = 0; number < count; number++) {
+            crashes.add(crash(number, suspects));
+        }
+        return crashes;
+    }
+
+    @Test
+    void aPartOnWhichNothingWasGeneratedIsFoundAfterThreeCrashes() {
+        assertThat(CrashAttribution.attribute(crashes(2, BAD), Map.of())).isEmpty();
+        assertThat(CrashAttribution.attribute(crashes(3, BAD), Map.of())).containsOnlyKeys(BAD);
+    }
+
+    @Test
+    void aPartOnWhichResponsesWereGeneratedBeforeIsNotBlamedBesideOneOnWhichNoneWas() {
+        List<EngineCrash> crashes = crashes(8, BAD, COMMON);
+        assertThat(CrashAttribution.attribute(crashes, Map.of(COMMON, 900L))).containsOnlyKeys(BAD);
+    }
+
+    @Test
+    void amongEqualsTheLaterPartIsBlamedBecauseFewerRequestsShareIt() {
+        assertThat(CrashAttribution.attribute(crashes(4, COMMON, BAD), Map.of()))
+                .containsOnlyKeys(BAD);
+    }
+
+    @Test
+    void crashesBeforeTheLastResponseOnAPartDoNotCountAgainstIt() {
+        assertThat(CrashAttribution.attribute(crashes(8, COMMON), Map.of(COMMON, 1_005L)))
+                .isEmpty();
+    }
+
+    /** A part that was sound may end engines that run another version of a model. */
+    @Test
+    void aPartThatWasSoundIsBlamedAfterMoreCrashes() {
+        assertThat(CrashAttribution.attribute(crashes(5, COMMON), Map.of(COMMON, 900L)))
+                .isEmpty();
+        assertThat(CrashAttribution.attribute(crashes(6, COMMON), Map.of(COMMON, 900L)))
+                .containsOnlyKeys(COMMON);
+    }
+
+    @Test
+    void twoCausesAreBothFound() {
+        PromptPartId other = new PromptPartId("other");
+        List<EngineCrash> crashes = new ArrayList<>(crashes(4, BAD, COMMON));
+        for (int number = 4; number < 7; number++) {
+            crashes.add(crash(number, other, COMMON));
+        }
+        assertThat(CrashAttribution.attribute(crashes, Map.of(COMMON, 900L))).containsOnlyKeys(BAD, other);
+    }
+
+    /** Every engine that ended had a request with the bad part, and requests with random sound parts beside it. */
+    @Property(tries = 200, seed = "25")
+    void onlyTheBadPartIsBlamedWhateverRunsBesideIt(@ForAll long seed) {
+        Random random = new Random(seed);
+        int parts = 2 + random.nextInt(60);
+        Map<PromptPartId, Long> generatedAt = new HashMap<>();
+        for (int part = 0; part < parts; part++) {
+            generatedAt.put(new PromptPartId("sound-" + part), (long) random.nextInt(1_000));
+        }
+        List<EngineCrash> crashes = new ArrayList<>();
+        int count = 3 + random.nextInt(10);
+        for (int number = 0; number < count; number++) {
+            List<PromptPartId> suspects = new ArrayList<>();
+            int bystanders = random.nextInt(11);
+            for (int bystander = 0; bystander < bystanders; bystander++) {
+                suspects.add(new PromptPartId("sound-" + random.nextInt(parts)));
+            }
+            suspects.add(random.nextInt(suspects.size() + 1), BAD);
+            crashes.add(crash(number, suspects.stream().distinct().toArray(PromptPartId[]::new)));
+        }
+        assertThat(CrashAttribution.attribute(crashes, generatedAt)).containsOnlyKeys(BAD);
+    }
+}
