Log the limits that targets name in their responses

No line showed which responses name a limit and which one, so requests over it could not be told from requests before it. The field is read but not obeyed yet.

--- a/gateway/src/main/java/org/bamboohatch/gateway/Dialect.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/Dialect.java
@@ -21,6 +21,8 @@
  * @param lastEventId id of the last event that was received; a resumed stream continues after it
  * @param failedTarget address of the engine whose failure made another engine refuse a request; sent in the refusal
  * @param leaving present in responses of targets that are about to end
+ * @param rateLimit number of requests a second, possibly with a fraction, that the target takes from all gateways together;
+ *     sent in each response for as long as the limit holds
  * @param memory format of the commands that reserve memory of engines
  */
 public record Dialect(
@@ -39,6 +41,7 @@
         String lastEventId,
         String failedTarget,
         String leaving,
+        String rateLimit,
         MemoryDialect memory) {
 
     /** The names in a standalone installation. */
@@ -58,5 +61,6 @@
             "Last-Event-ID",
             "Faulty-Target",
             "Target-Leaving",
+            "Target-Limit",
             MemoryDialect.Default.INSTANCE);
 }
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetNotices.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetNotices.java
@@ -1,5 +1,6 @@
 package org.bamboohatch.gateway.forward;
 
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -48,6 +49,10 @@
                     .with("target", target.target())
                     .write();
         }
+        rateLimit(head).ifPresent(perSecond -> log.line(Category.FAILURE, "limited")
+                .with("target", target.target())
+                .with("perSecond", perSecond)
+                .write());
         pauseMillis(head).ifPresent(millis -> {
             targets.recordPauseRequest(target, millis, now);
             log.line(Category.FAILURE, "paused")
@@ -57,6 +62,25 @@
         });
     }
 
+    /**
+     * Returns the number of requests that a target takes from all gateways together.
+     *
+     * @param head head of a response
+     * @return the number per second, empty if the response names none or the value is malformed or negative
+     */
+    OptionalDouble rateLimit(HttpResponse head) {
+        String value = head.headers().get(dialect.rateLimit());
+        if (value == null) {
+            return OptionalDouble.empty();
+        }
+        try {
+            double perSecond = Double.parseDouble(value.strip());
+            return perSecond >= 0 && Double.isFinite(perSecond) ? OptionalDouble.of(perSecond) : OptionalDouble.empty();
+        } catch (NumberFormatException malformed) {
+            return OptionalDouble.empty();
+        }
+    }
+
     /**
      * Returns the time for which a target wants no requests. Only a number of seconds is understood, possibly with a
      * fraction. A date is ignored, because the clocks of the two hosts may differ by more than the time meant.
