Keep to the limits that targets name, over all gateways together

What operators saw: engines in need that name a limit of 1 request a second go on to get 4 a second.

Cause: no code reads the field; a target's word on the requests it wants is obeyed for leaving and pauses only.

Change: a gateway remembers the last word of each incarnation, reports it to the others with the load, and sends within its share of the limit (RateShare): one request in each interval of gateways / limit, the intervals of different gateways spread over time, nothing saved up. A response without the field to a request sent after the limit was named ends the limit; one to an earlier request does not. If no target takes a request, the caller is refused as not run and told when the first one may.

Tried and dropped: a share that is saved up to one request.

The state that gateways exchange has become one record, as the constructors had too many parameters.

--- a/gateway/src/main/java/org/bamboohatch/gateway/GatewayModule.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/GatewayModule.java
@@ -13,10 +13,8 @@
 import io.netty.channel.nio.NioIoHandler;
 import org.bamboohatch.gateway.configuration.FleetStore;
 import org.bamboohatch.gateway.forward.Forwarder;
+import org.bamboohatch.gateway.load.ExchangedState;
 import org.bamboohatch.gateway.load.LoadExchange;
-import org.bamboohatch.gateway.load.LoadTracker;
-import org.bamboohatch.gateway.quarantine.PromptQuarantine;
-import org.bamboohatch.gateway.target.LeavingTargets;
 import org.bamboohatch.kernel.event.Timeline;
 import org.bamboohatch.protocol.client.ControlClient;
 import org.bamboohatch.protocol.transport.Network;
@@ -61,8 +59,8 @@
 
     @Provides
     @Singleton
-    static LoadTracker loadTracker() {
-        return new LoadTracker();
+    static ExchangedState exchangedState(GatewaySettings settings) {
+        return ExchangedState.empty(settings);
     }
 
     @Provides
@@ -72,34 +70,15 @@
             Dialect dialect,
             EventLoop loop,
             FleetStore store,
-            LoadTracker loadTracker,
-            LeavingTargets leavingTargets,
-            PromptQuarantine quarantine,
+            ExchangedState state,
             GatewayMetrics metrics) {
-        return new Forwarder(settings, dialect, loop, store, loadTracker, leavingTargets, quarantine, metrics);
+        return new Forwarder(settings, dialect, loop, store, state, metrics);
     }
 
     @Provides
     @Singleton
-    static LeavingTargets leavingTargets() {
-        return new LeavingTargets();
-    }
-
-    @Provides
-    @Singleton
-    static PromptQuarantine promptQuarantine(GatewaySettings settings) {
-        return new PromptQuarantine(settings.promptQuarantineMillis());
-    }
-
-    @Provides
-    @Singleton
-    static LoadExchange loadExchange(
-            GatewaySettings settings,
-            LoadTracker loadTracker,
-            LeavingTargets leavingTargets,
-            PromptQuarantine quarantine,
-            EventLoop loop) {
-        return new LoadExchange(settings, loadTracker, leavingTargets, quarantine, loop);
+    static LoadExchange loadExchange(GatewaySettings settings, ExchangedState state, EventLoop loop) {
+        return new LoadExchange(settings, state, loop);
     }
 
     @Provides
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
@@ -18,9 +18,8 @@
 import org.bamboohatch.gateway.http.CallerRequestHandler;
 import org.bamboohatch.gateway.http.InboundRequest;
 import org.bamboohatch.gateway.http.Responder;
-import org.bamboohatch.gateway.load.LoadTracker;
+import org.bamboohatch.gateway.load.ExchangedState;
 import org.bamboohatch.gateway.quarantine.PromptQuarantine;
-import org.bamboohatch.gateway.target.LeavingTargets;
 import org.bamboohatch.gateway.target.TargetAddress;
 import org.bamboohatch.gateway.target.TargetConnectionPool;
 import org.bamboohatch.kernel.id.ServiceName;
@@ -75,9 +74,7 @@
      * @param dialect names of the header fields
      * @param loop the event loop that serves all callers
      * @param configuration this gateway's copy of the configuration and the membership
-     * @param loadTracker load of the targets
-     * @param leavingTargets the targets that are about to end
-     * @param quarantine the prompt parts that end engines
+     * @param state state of the targets that gateways exchange
      * @param metrics counters and histograms of this gateway
      */
     public Forwarder(
@@ -85,20 +82,18 @@
             Dialect dialect,
             EventLoop loop,
             FleetViewSource configuration,
-            LoadTracker loadTracker,
-            LeavingTargets leavingTargets,
-            PromptQuarantine quarantine,
+            ExchangedState state,
             GatewayMetrics metrics) {
         this.metrics = metrics;
-        this.quarantine = quarantine;
+        this.quarantine = state.quarantine();
         this.settings = settings;
         this.dialect = dialect;
         this.loop = loop;
         this.configuration = configuration;
         this.requestAdmission = new RequestAdmission(dialect, settings.freshnessMillis());
-        this.targets = new TargetCatalog(settings.host(), settings.zone(), loadTracker, leavingTargets);
+        this.targets = new TargetCatalog(settings.host(), settings.zone(), state);
         this.pool = new TargetConnectionPool(loop, dialect.requestId(), new TargetNotices(dialect, targets, log));
-        this.dispatcher = new AttemptDispatcher(settings, dialect, loop, targets, pool, loadTracker, log);
+        this.dispatcher = new AttemptDispatcher(settings, dialect, loop, targets, pool, state.loadTracker(), log);
     }
 
     /**
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetCatalog.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetCatalog.java
@@ -12,9 +12,11 @@
 
 import com.dynatrace.hash4j.hashing.Hashing;
 import org.bamboohatch.gateway.configuration.FleetView;
+import org.bamboohatch.gateway.load.ExchangedState;
 import org.bamboohatch.gateway.load.LoadTracker;
 import org.bamboohatch.gateway.target.LeavingTargets;
 import org.bamboohatch.gateway.target.TargetAddress;
+import org.bamboohatch.gateway.target.TargetLimits;
 import org.bamboohatch.kernel.id.HostName;
 import org.bamboohatch.kernel.id.ServiceName;
 import org.bamboohatch.kernel.id.TargetName;
@@ -39,6 +41,8 @@
     /** The targets that are about to end and get no new requests. */
     private final LeavingTargets leaving;
 
+    private final TargetLimits limits;
+
     /** Availability by address; the address includes the incarnation, so a restarted target starts anew. */
     private final Map<TargetAddress, TargetAvailability> availability = new HashMap<>();
 
@@ -59,14 +63,14 @@
      *
      * @param host host of this gateway
      * @param zone availability zone of this gateway
-     * @param loadTracker load of the targets
-     * @param leaving the targets that are about to end
+     * @param state state of the targets that gateways exchange
      */
-    TargetCatalog(HostName host, ZoneName zone, LoadTracker loadTracker, LeavingTargets leaving) {
+    TargetCatalog(HostName host, ZoneName zone, ExchangedState state) {
         this.host = host;
         this.zone = zone;
-        this.loadTracker = loadTracker;
-        this.leaving = leaving;
+        this.loadTracker = state.loadTracker();
+        this.leaving = state.leavingTargets();
+        this.limits = state.limits();
     }
 
     /**
@@ -114,7 +118,7 @@
     }
 
     /**
-     * Returns the targets that a request may be sent to. Those that are leaving or paused are omitted; ejected ones are
+     * Returns the targets that a request may be sent to. Those that are leaving, paused or at their limit are omitted; ejected ones are
      * omitted unless all others are ejected too.
      *
      * @param service the service of the request
@@ -181,10 +185,21 @@
      *
      * @param address address of the target
      * @param now current time, in milliseconds
-     * @return whether it is neither leaving nor paused
+     * @return whether it is neither leaving nor paused, and its limit allows a request
      */
     boolean acceptsRequests(TargetAddress address, long now) {
-        return !isLeaving(address) && !availability(address).isPaused(now);
+        return !isLeaving(address) && acceptsRequestsAt(address, now) <= now;
+    }
+
+    /**
+     * Returns the time from which a target that is not leaving accepts the next request of this gateway.
+     *
+     * @param address address of the target
+     * @param now current time, in milliseconds
+     * @return the later of the end of its pause and the time that its limit allows, in milliseconds
+     */
+    private long acceptsRequestsAt(TargetAddress address, long now) {
+        return Math.max(availability(address).pausedUntil(), limits.nextSendAt(address.toIncarnation(), now));
     }
 
     boolean isLeaving(TargetAddress address) {
@@ -192,7 +207,7 @@
     }
 
     /**
-     * Returns the time until a target of a service accepts requests, if all that are not leaving are paused.
+     * Returns the time until a target of a service accepts requests, if all that are not leaving are paused or limited.
      *
      * @param service the service
      * @param now current time, in milliseconds
@@ -202,7 +217,7 @@
         OptionalLong shortest = view.targetsOf(service).stream()
                 .map(TargetCatalog::address)
                 .filter(address -> !leaving.contains(address))
-                .mapToLong(address -> availability(address).pausedUntil() - now)
+                .mapToLong(address -> acceptsRequestsAt(address, now) - now)
                 .min();
         return shortest.isPresent() && shortest.getAsLong() > 0 ? shortest : OptionalLong.empty();
     }
@@ -229,7 +244,32 @@
         return leaving.add(target.toIncarnation(), now);
     }
 
+    /**
+     * Records the limit that a target names.
+     *
+     * @param target address of the target
+     * @param perSecond requests per second that it takes from all gateways together
+     * @param now current time, in milliseconds
+     * @return whether the limit is new or has changed
+     */
+    boolean recordLimit(TargetAddress target, double perSecond, long now) {
+        return limits.recordLimit(target.toIncarnation(), perSecond, now);
+    }
+
+    /**
+     * Records that a target names no limit.
+     *
+     * @param target address of the target
+     * @param requestSentAt time at which the request was sent to which it responds, in milliseconds
+     * @param now current time, in milliseconds
+     * @return whether a limit has ended
+     */
+    boolean recordNoLimit(TargetAddress target, long requestSentAt, long now) {
+        return limits.recordNoLimit(target.toIncarnation(), requestSentAt, now);
+    }
+
     void recordDispatch(TargetAddress target, long now) {
+        limits.recordSend(target.toIncarnation(), now);
         updateHealth(target, health -> health.afterDispatch(now));
     }
 
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetNotices.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetNotices.java
@@ -38,7 +38,7 @@
     }
 
     @Override
-    public void onHead(TargetAddress target, HttpResponse head) {
+    public void onHead(TargetAddress target, HttpResponse head, OptionalLong requestSentAt) {
         if (head.status().code() == TargetStatus.MISDIRECTED) {
             // Another target has taken over the address; its notices are not about the one that was addressed.
             return;
@@ -49,10 +49,7 @@
                     .with("target", target.target())
                     .write();
         }
-        rateLimit(head).ifPresent(perSecond -> log.line(Category.FAILURE, "limited")
-                .with("target", target.target())
-                .with("perSecond", perSecond)
-                .write());
+        observeLimit(target, head, requestSentAt, now);
         pauseMillis(head).ifPresent(millis -> {
             targets.recordPauseRequest(target, millis, now);
             log.line(Category.FAILURE, "paused")
@@ -62,6 +59,24 @@
         });
     }
 
+    private void observeLimit(TargetAddress target, HttpResponse head, OptionalLong requestSentAt, long now) {
+        OptionalDouble perSecond = rateLimit(head);
+        if (perSecond.isPresent()) {
+            if (targets.recordLimit(target, perSecond.getAsDouble(), now)) {
+                log.line(Category.STATE_CHANGE, "limited")
+                        .with("target", target.target())
+                        .with("perSecond", perSecond.getAsDouble())
+                        .write();
+            }
+        } else if (!head.headers().contains(dialect.rateLimit())
+                && requestSentAt.isPresent()
+                && targets.recordNoLimit(target, requestSentAt.getAsLong(), now)) {
+            log.line(Category.STATE_CHANGE, "unlimited")
+                    .with("target", target.target())
+                    .write();
+        }
+    }
+
     /**
      * Returns the number of requests that a target takes from all gateways together.
      *
--- /dev/null
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/ExchangedState.java
@@ -0,0 +1,32 @@
+package org.bamboohatch.gateway.load;
+
+import org.bamboohatch.gateway.GatewaySettings;
+import org.bamboohatch.gateway.quarantine.PromptQuarantine;
+import org.bamboohatch.gateway.target.LeavingTargets;
+import org.bamboohatch.gateway.target.TargetLimits;
+
+/**
+ * State of targets that the gateways exchange. Confined to the callers' event loop.
+ *
+ * @param loadTracker load of the targets
+ * @param leavingTargets the targets that are about to end
+ * @param limits the limits that targets have named
+ * @param quarantine the prompt parts that end engines
+ */
+public record ExchangedState(
+        LoadTracker loadTracker, LeavingTargets leavingTargets, TargetLimits limits, PromptQuarantine quarantine) {
+
+    /**
+     * Creates the state of a gateway that has not heard of any target.
+     *
+     * @param settings settings of the gateway
+     * @return the empty state
+     */
+    public static ExchangedState empty(GatewaySettings settings) {
+        return new ExchangedState(
+                new LoadTracker(),
+                new LeavingTargets(),
+                new TargetLimits(settings.host()),
+                new PromptQuarantine(settings.promptQuarantineMillis()));
+    }
+}
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/GatewayLoad.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/GatewayLoad.java
@@ -1,11 +1,13 @@
 package org.bamboohatch.gateway.load;
 
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.annotation.JsonPropertyOrder;
+import org.bamboohatch.gateway.target.TargetLimits;
 import org.bamboohatch.kernel.id.PromptPartId;
 import org.bamboohatch.kernel.id.TargetIncarnation;
 import org.bamboohatch.kernel.id.TargetName;
@@ -26,6 +28,7 @@
  * @param leaving targets that are about to end
  * @param crashes engines that have presumably crashed
  * @param generated suspected prompt parts on which responses were generated
+ * @param limits limits that targets have named
  */
 public record GatewayLoad(
         String gateway,
@@ -35,7 +38,8 @@
         List<TargetWork> targets,
         List<LeavingTarget> leaving,
         List<Crash> crashes,
-        List<GeneratedPart> generated)
+        List<GeneratedPart> generated,
+        List<Limit> limits)
         implements Message {
 
     /** Suspects in one piece of a crash, so that several pieces fit into a datagram. */
@@ -47,6 +51,7 @@
         leaving = List.copyOf(leaving);
         crashes = crashes == null ? List.of() : List.copyOf(crashes);
         generated = generated == null ? List.of() : List.copyOf(generated);
+        limits = limits == null ? List.of() : List.copyOf(limits);
     }
 
     /**
@@ -121,6 +126,33 @@
     @JsonPropertyOrder({"part", "ageMillis"})
     public record GeneratedPart(PromptPartId part, long ageMillis) {}
 
+    /**
+     * Limit of a target on the requests that it takes from all gateways together.
+     *
+     * @param target name of the target
+     * @param incarnation number of the incarnation
+     * @param perSecond requests per second, or null if the target has no limit any more
+     * @param ageMillis time since the target said so, in milliseconds
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    @JsonPropertyOrder({"target", "incarnation", "perSecond", "ageMillis"})
+    public record Limit(TargetName target, long incarnation, Double perSecond, long ageMillis) {
+
+        static Limit of(TargetLimits.Statement statement, long now) {
+            TargetIncarnation incarnation = statement.target();
+            Double perSecond =
+                    statement.perSecond().isPresent() ? statement.perSecond().getAsDouble() : null;
+            return new Limit(incarnation.target(), incarnation.number(), perSecond, now - statement.at());
+        }
+
+        TargetLimits.Statement toStatement(long now) {
+            return new TargetLimits.Statement(
+                    new TargetIncarnation(target, incarnation),
+                    perSecond == null ? OptionalDouble.empty() : OptionalDouble.of(perSecond),
+                    now - ageMillis);
+        }
+    }
+
     /**
      * Load at one target. Numbers are rounded and encoded as an array to keep reports small.
      *
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -29,6 +30,7 @@
 import org.bamboohatch.gateway.quarantine.PromptQuarantine;
 import org.bamboohatch.gateway.quarantine.PromptQuarantine.Observations;
 import org.bamboohatch.gateway.target.LeavingTargets;
+import org.bamboohatch.gateway.target.TargetLimits;
 import org.bamboohatch.kernel.id.TargetIncarnation;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.id.ZoneName;
@@ -60,6 +62,8 @@
 
     private final LeavingTargets leavingTargets;
 
+    private final TargetLimits limits;
+
     private final PromptQuarantine quarantine;
 
     private final EventLoop loop;
@@ -73,20 +77,11 @@
     /** The other gateways by their address for load reports. */
     private final Map<InetSocketAddress, Peer> peers = new HashMap<>();
 
-    /** Changes to report to gateways of the same zone, or of a zone that is not known yet. */
-    private final LoadTracker.PendingReport nearReport;
-
-    /** Changes to report to gateways in other zones. */
-    private final LoadTracker.PendingReport farReport;
-
-    /** Crashes to report to gateways of the same zone, or of a zone that is not known yet. */
-    private final PromptQuarantine.PendingReport nearObservations;
+    /** Gateways of the same zone, or of a zone that is not known yet. */
+    private final Audience near;
 
-    /** Crashes to report to gateways in other zones. */
-    private final PromptQuarantine.PendingReport farObservations;
-
-    /** Leaving targets to report to gateways in other zones. */
-    private final Set<TargetIncarnation> farLeaving = new LinkedHashSet<>();
+    /** Gateways in other zones. */
+    private final Audience far;
 
     private long lastFarReportAt;
 
@@ -101,9 +96,47 @@
      * @param workloads the load by target
      * @param leaving targets that are about to end
      * @param observations crashes of engines and the prompt parts that are suspected of them
+     * @param limits limits that targets have named
      */
     private record Content(
-            Map<TargetName, Workload> workloads, List<TargetIncarnation> leaving, Observations observations) {}
+            Map<TargetName, Workload> workloads,
+            List<TargetIncarnation> leaving,
+            Observations observations,
+            List<TargetLimits.Statement> limits) {
+
+        boolean isEmpty() {
+            return workloads.isEmpty() && leaving.isEmpty() && observations.isEmpty() && limits.isEmpty();
+        }
+    }
+
+    /** A group of gateways that get the same reports, and what is still to be reported to them. */
+    private final class Audience {
+
+        private final LoadTracker.PendingReport pendingLoad = loadTracker.newReport();
+
+        private final PromptQuarantine.PendingReport pendingObservations = quarantine.newReport();
+
+        private final TargetLimits.PendingReport pendingLimits = limits.newReport();
+
+        private final Set<TargetIncarnation> pendingLeaving = new LinkedHashSet<>();
+
+        /**
+         * Returns what is to be reported.
+         *
+         * @param complete whether everything is reported; otherwise what has changed since the previous report
+         * @param now current time, in milliseconds
+         * @return the content of the report
+         */
+        Content take(boolean complete, long now) {
+            Content content = new Content(
+                    complete ? pendingLoad.takeAll() : pendingLoad.takeChanges(),
+                    List.copyOf(pendingLeaving),
+                    complete ? pendingObservations.takeAll(now) : pendingObservations.takeChanges(),
+                    complete ? pendingLimits.takeAll(now) : pendingLimits.takeChanges());
+            pendingLeaving.clear();
+            return content;
+        }
+    }
 
     /** Zone and last report of another gateway. */
     private static final class Peer {
@@ -121,26 +154,18 @@
      * Creates a load exchange without peers.
      *
      * @param settings settings of this gateway
-     * @param loadTracker load of the targets
-     * @param leavingTargets the targets that are about to end
-     * @param quarantine the prompt parts that end engines
+     * @param state state of the targets that gateways exchange
      * @param loop the event loop that serves all callers
      */
-    public LoadExchange(
-            GatewaySettings settings,
-            LoadTracker loadTracker,
-            LeavingTargets leavingTargets,
-            PromptQuarantine quarantine,
-            EventLoop loop) {
+    public LoadExchange(GatewaySettings settings, ExchangedState state, EventLoop loop) {
         this.settings = settings;
-        this.loadTracker = loadTracker;
-        this.leavingTargets = leavingTargets;
-        this.quarantine = quarantine;
+        this.loadTracker = state.loadTracker();
+        this.leavingTargets = state.leavingTargets();
+        this.limits = state.limits();
+        this.quarantine = state.quarantine();
         this.loop = loop;
-        this.nearReport = loadTracker.newReport();
-        this.farReport = loadTracker.newReport();
-        this.nearObservations = quarantine.newReport();
-        this.farObservations = quarantine.newReport();
+        this.near = new Audience();
+        this.far = new Audience();
     }
 
     @Override
@@ -177,6 +202,7 @@
                 present.add(Network.parse(address));
             }
         }
+        limits.setGateways(gateways.size());
         peers.keySet().retainAll(present);
         present.forEach(address -> peers.computeIfAbsent(address, added -> new Peer()));
     }
@@ -192,41 +218,21 @@
         List<InetSocketAddress> farPeers = new ArrayList<>();
         peers.forEach((address, peer) -> (isFar(peer) ? farPeers : nearPeers).add(address));
         boolean farDue = completeDue || now - lastFarReportAt >= ReportSchedule.farIntervalMillis(farPeers.size());
-        List<TargetIncarnation> nearLeaving = leavingTargets.takeUnreported();
-        farLeaving.addAll(nearLeaving);
+        List<TargetIncarnation> leaving = leavingTargets.takeUnreported();
         if (completeDue) {
             lastCompleteReportAt = now;
             loadTracker.removeExpired(now);
-            nearLeaving = leavingTargets.addedSince(now - LEAVING_REPEAT_MS);
-            farLeaving.addAll(nearLeaving);
-        }
-        Observations near = observations(nearObservations, completeDue, now);
-        if (completeDue || nearReport.hasChanges() || !nearLeaving.isEmpty() || !near.isEmpty()) {
-            send(
-                    nearPeers,
-                    new Content(completeDue ? nearReport.takeAll() : nearReport.takeChanges(), nearLeaving, near),
-                    now);
+            leaving = leavingTargets.addedSince(now - LEAVING_REPEAT_MS);
         }
+        near.pendingLeaving.addAll(leaving);
+        far.pendingLeaving.addAll(leaving);
+        send(nearPeers, near.take(completeDue, now), completeDue, now);
         if (farDue) {
             lastFarReportAt = now;
-            Observations far = observations(farObservations, completeDue, now);
-            if (completeDue || farReport.hasChanges() || !farLeaving.isEmpty() || !far.isEmpty()) {
-                send(
-                        farPeers,
-                        new Content(
-                                completeDue ? farReport.takeAll() : farReport.takeChanges(),
-                                List.copyOf(farLeaving),
-                                far),
-                        now);
-                farLeaving.clear();
-            }
+            send(farPeers, far.take(completeDue, now), completeDue, now);
         }
     }
 
-    private static Observations observations(PromptQuarantine.PendingReport pending, boolean complete, long now) {
-        return complete ? pending.takeAll(now) : pending.takeChanges();
-    }
-
     private boolean isFar(Peer peer) {
         return peer.zone != null && !peer.zone.equals(settings.zone());
     }
@@ -236,10 +242,11 @@
      *
      * @param receivers addresses of the receivers
      * @param content what to report
+     * @param complete whether the report is sent even if there is nothing to report
      * @param now current time, in milliseconds
      */
-    private void send(List<InetSocketAddress> receivers, Content content, long now) {
-        if (receivers.isEmpty()) {
+    private void send(List<InetSocketAddress> receivers, Content content, boolean complete, long now) {
+        if (receivers.isEmpty() || content.isEmpty() && !complete) {
             return;
         }
         List<GatewayLoad.TargetWork> targets = content.workloads().entrySet().stream()
@@ -253,11 +260,18 @@
         List<GatewayLoad.GeneratedPart> generated = content.observations().generatedAt().entrySet().stream()
                 .map(part -> new GatewayLoad.GeneratedPart(part.getKey(), now - part.getValue()))
                 .toList();
-        int datagrams = Math.max(
-                Math.max(1, pages(crashes, CRASHES_PER_REPORT)),
-                Math.max(
+        List<GatewayLoad.Limit> namedLimits = content.limits().stream()
+                .map(statement -> GatewayLoad.Limit.of(statement, now))
+                .toList();
+        int datagrams = IntStream.of(
+                        1,
+                        pages(targets, TARGETS_PER_REPORT),
+                        pages(leaving, TARGETS_PER_REPORT),
+                        pages(crashes, CRASHES_PER_REPORT),
                         pages(generated, TARGETS_PER_REPORT),
-                        Math.max(pages(targets, TARGETS_PER_REPORT), pages(leaving, TARGETS_PER_REPORT))));
+                        pages(namedLimits, TARGETS_PER_REPORT))
+                .max()
+                .getAsInt();
         for (int datagram = 0; datagram < datagrams; datagram++) {
             lastNumber++;
             byte[] report = MessageCodec.instance()
@@ -269,7 +283,8 @@
                             page(targets, datagram, TARGETS_PER_REPORT),
                             page(leaving, datagram, TARGETS_PER_REPORT),
                             page(crashes, datagram, CRASHES_PER_REPORT),
-                            page(generated, datagram, TARGETS_PER_REPORT)));
+                            page(generated, datagram, TARGETS_PER_REPORT),
+                            page(namedLimits, datagram, TARGETS_PER_REPORT)));
             receivers.forEach(receiver -> socket.write(new DatagramPacket(Unpooled.wrappedBuffer(report), receiver)));
         }
         socket.flush();
@@ -302,6 +317,7 @@
         report.targets().forEach(target -> workloads.put(target.target(), target.toWorkload()));
         loadTracker.applyReport(report.gateway(), workloads, now);
         report.leaving().forEach(target -> leavingTargets.addReported(target.toIncarnation(), now));
+        report.limits().forEach(limit -> limits.apply(limit.toStatement(now), now));
         quarantine.apply(
                 new Observations(
                         report.crashes().stream()
--- a/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
@@ -1,6 +1,7 @@
 package org.bamboohatch.gateway.target;
 
 import java.io.IOException;
+import java.util.OptionalLong;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -52,6 +53,9 @@
     /** Id of the request in progress, null for a memory command. */
     private String expectedId;
 
+    /** Time at which the latest request was sent, in milliseconds. */
+    private long sentAt;
+
     /** The write of the latest request, null before the first. */
     private ChannelFuture requestWrite;
 
@@ -141,6 +145,7 @@
     public void send(
             HttpMethod method, String uri, HttpHeaders headers, byte[] body, ResponseListener responseListener) {
         used = requestWrite != null;
+        sentAt = GatewayClock.now();
         listener = responseListener;
         expectedId = headers.get(requestIdField);
         carriedUnidentified |= expectedId == null;
@@ -229,9 +234,10 @@
             loseResponse(LossCause.MALFORMED);
             return;
         }
-        pool.observe(address, response);
         String id = response.headers().get(requestIdField);
         discarding = isForeign(id) || response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        boolean answersRequest = !discarding && expectedId != null;
+        pool.observe(address, response, answersRequest ? OptionalLong.of(sentAt) : OptionalLong.empty());
         if (discarding) {
             return;
         }
--- a/gateway/src/main/java/org/bamboohatch/gateway/target/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/TargetConnectionPool.java
@@ -7,6 +7,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 
@@ -77,12 +78,14 @@
          *
          * @param target address of the target
          * @param head status and header fields of the response
+         * @param requestSentAt time at which the request was sent that the response answers, in milliseconds; empty if it
+         *     answers a memory command, no request in progress, or precedes the final response
          */
-        void onHead(TargetAddress target, HttpResponse head);
+        void onHead(TargetAddress target, HttpResponse head, OptionalLong requestSentAt);
     }
 
-    void observe(TargetAddress target, HttpResponse head) {
-        observer.onHead(target, head);
+    void observe(TargetAddress target, HttpResponse head, OptionalLong requestSentAt) {
+        observer.onHead(target, head, requestSentAt);
     }
 
     /**
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
@@ -37,10 +37,8 @@
 import org.bamboohatch.gateway.configuration.FleetViewSource;
 import org.bamboohatch.gateway.configuration.RouteTable;
 import org.bamboohatch.gateway.http.CallerServer;
+import org.bamboohatch.gateway.load.ExchangedState;
 import org.bamboohatch.gateway.load.LoadExchange;
-import org.bamboohatch.gateway.load.LoadTracker;
-import org.bamboohatch.gateway.quarantine.PromptQuarantine;
-import org.bamboohatch.gateway.target.LeavingTargets;
 import org.bamboohatch.kernel.id.AccountName;
 import org.bamboohatch.kernel.id.HostName;
 import org.bamboohatch.kernel.id.ServiceName;
@@ -105,19 +103,9 @@
                 3_500,
                 60_000,
                 1_000);
-        LoadTracker loadTracker = new LoadTracker();
-        LeavingTargets leavingTargets = new LeavingTargets();
-        PromptQuarantine quarantine = new PromptQuarantine(settings.promptQuarantineMillis());
-        forwarder = new Forwarder(
-                settings,
-                Dialect.DEFAULT,
-                loop,
-                this,
-                loadTracker,
-                leavingTargets,
-                quarantine,
-                new GatewayMetrics(registry));
-        exchange = new LoadExchange(settings, loadTracker, leavingTargets, quarantine, loop);
+        ExchangedState state = ExchangedState.empty(settings);
+        forwarder = new Forwarder(settings, Dialect.DEFAULT, loop, this, state, new GatewayMetrics(registry));
+        exchange = new LoadExchange(settings, state, loop);
         exchange.start();
         callers = new CallerServer(new InetSocketAddress("127.0.0.1", port), loop, forwarder, () -> LIMITS);
         callers.start();
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/RepeatedCommandResponseTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/RepeatedCommandResponseTest.java
@@ -39,7 +39,8 @@
 
     private final EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
 
-    private final TargetConnectionPool pool = new TargetConnectionPool(loop, "Request-Id", (target, head) -> {});
+    private final TargetConnectionPool pool =
+            new TargetConnectionPool(loop, "Request-Id", (target, head, requestSentAt) -> {});
 
     @AfterEach
     void stop() {
--- a/gateway/src/test/java/org/bamboohatch/gateway/load/LoadExchangeTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/load/LoadExchangeTest.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.Callable;
+import java.util.stream.IntStream;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -15,7 +16,9 @@
 import org.bamboohatch.gateway.quarantine.PromptQuarantine;
 import org.bamboohatch.gateway.target.LeavingTargets;
 import org.bamboohatch.gateway.target.TargetAddress;
+import org.bamboohatch.gateway.target.TargetLimits;
 import org.bamboohatch.kernel.id.HostName;
+import org.bamboohatch.kernel.id.PromptPartId;
 import org.bamboohatch.kernel.id.TargetIncarnation;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.id.ZoneName;
@@ -42,9 +45,13 @@
 
         private final String address = freeAddress();
 
-        private final LoadTracker loadTracker = new LoadTracker();
+        private final LoadTracker loadTracker;
 
-        private final LeavingTargets leavingTargets = new LeavingTargets();
+        private final LeavingTargets leavingTargets;
+
+        private final TargetLimits limits;
+
+        private final PromptQuarantine quarantine;
 
         private final LoadExchange exchange;
 
@@ -63,7 +70,12 @@
                     3_500,
                     60_000,
                     1_000);
-            exchange = new LoadExchange(settings, loadTracker, leavingTargets, new PromptQuarantine(60_000), loop);
+            ExchangedState state = ExchangedState.empty(settings);
+            loadTracker = state.loadTracker();
+            leavingTargets = state.leavingTargets();
+            limits = state.limits();
+            quarantine = state.quarantine();
+            exchange = new LoadExchange(settings, state, loop);
         }
     }
 
@@ -162,6 +174,35 @@
         awaitOnLoop(() -> second.leavingTargets.contains(new TargetAddress(ENGINE, 7, "127.0.0.1:1")));
     }
 
+    @Test
+    void limitsOfTargetsAreReported() throws Exception {
+        start();
+        TargetIncarnation engine = new TargetIncarnation(ENGINE, 7);
+        onLoop(() -> first.limits.recordLimit(engine, 0.5, GatewayClock.now()));
+        awaitOnLoop(() -> second.limits.nextSendAt(engine, GatewayClock.now()) > 0);
+        Thread.sleep(5);
+        onLoop(() -> first.limits.recordNoLimit(engine, GatewayClock.now(), GatewayClock.now()));
+        awaitOnLoop(() -> second.limits.nextSendAt(engine, GatewayClock.now()) == 0);
+    }
+
+    @Test
+    void crashesOfEnginesAreReportedWithAllSuspects() throws Exception {
+        start();
+        List<PromptPartId> suspects = IntStream.range(0, 40)
+                .mapToObj(number -> new PromptPartId("part-" + number))
+                .toList();
+        for (int number = 0; number < 3; number++) {
+            TargetIncarnation engine = new TargetIncarnation(new TargetName("engine-" + number), 7);
+            onLoop(() -> {
+                first.quarantine.recordCrash(engine, suspects, GatewayClock.now());
+                return null;
+            });
+        }
+        awaitOnLoop(() -> second.quarantine
+                .find(List.of(suspects.get(39)), GatewayClock.now())
+                .isPresent());
+    }
+
     @Test
     void malformedDatagramsAreIgnored() throws Exception {
         start();
