Report pauses that targets ask for to the other gateways

Each other one sent at least one request and was refused in turn, which a target in need pays for once per gateway.

Change: pauses are kept by incarnation in the state that gateways exchange, reported at once and again with each complete report.

TargetAvailability goes, as a pause is no longer a matter of one process.

--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetCatalog.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetCatalog.java
@@ -17,13 +17,13 @@
 import org.bamboohatch.gateway.target.LeavingTargets;
 import org.bamboohatch.gateway.target.TargetAddress;
 import org.bamboohatch.gateway.target.TargetLimits;
+import org.bamboohatch.gateway.target.TargetPauses;
 import org.bamboohatch.kernel.id.HostName;
 import org.bamboohatch.kernel.id.ServiceName;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.id.ZoneName;
 import org.bamboohatch.protocol.message.TargetAnnouncement;
 import org.bamboohatch.routing.fleet.Candidate;
-import org.bamboohatch.routing.retry.TargetAvailability;
 import org.bamboohatch.routing.retry.TargetHealth;
 
 /** The known targets, their load and their availability; confined to the callers' event loop. */
@@ -43,8 +43,10 @@
 
     private final TargetLimits limits;
 
-    /** Availability by address; the address includes the incarnation, so a restarted target starts anew. */
-    private final Map<TargetAddress, TargetAvailability> availability = new HashMap<>();
+    private final TargetPauses pauses;
+
+    /** Observed health by address; the address includes the incarnation, so a restarted target starts anew. */
+    private final Map<TargetAddress, TargetHealth> health = new HashMap<>();
 
     /** The members by service. */
     private final Map<ServiceName, List<KnownTarget>> members = new HashMap<>();
@@ -70,12 +72,12 @@
         this.zone = zone;
         this.loadTracker = state.loadTracker();
         this.leaving = state.leavingTargets();
+        this.pauses = state.pauses();
         this.limits = state.limits();
     }
 
     /**
-     * Replaces the membership. The availability of targets that remain is retained, and so are the pauses of others, which
-     * a delayed announcement could make known again.
+     * Replaces the membership. The health of targets that remain is retained.
      *
      * @param nextView the new copy of the membership
      * @param now current time, in milliseconds
@@ -91,11 +93,8 @@
                     .add(member);
             present.add(member.address());
         }
-        availability
-                .entrySet()
-                .removeIf(target ->
-                        !present.contains(target.getKey()) && !target.getValue().isPaused(now));
-        present.forEach(address -> availability.putIfAbsent(address, TargetAvailability.INITIAL));
+        health.keySet().retainAll(present);
+        present.forEach(address -> health.putIfAbsent(address, TargetHealth.HEALTHY));
         return Set.copyOf(present);
     }
 
@@ -131,7 +130,8 @@
                 .filter(member -> mayBeSentTo(member, excluded, now))
                 .toList();
         List<KnownTarget> preferred = all.stream()
-                .filter(member -> availability(member.address()).isPreferred(now))
+                .filter(member -> health.getOrDefault(member.address(), TargetHealth.HEALTHY)
+                        .isAvailable(now))
                 .toList();
         List<KnownTarget> usable = preferred.isEmpty() ? all : preferred;
         return usable.stream().map(member -> toCandidate(member, now)).toList();
@@ -176,10 +176,6 @@
         return (hash >>> 1) / (double) Long.MAX_VALUE;
     }
 
-    private TargetAvailability availability(TargetAddress address) {
-        return availability.getOrDefault(address, TargetAvailability.INITIAL);
-    }
-
     /**
      * Indicates whether a target accepts new requests, as far as it has told.
      *
@@ -199,7 +195,7 @@
      * @return the later of the end of its pause and the time that its limit allows, in milliseconds
      */
     private long acceptsRequestsAt(TargetAddress address, long now) {
-        return Math.max(availability(address).pausedUntil(), limits.nextSendAt(address.toIncarnation(), now));
+        return Math.max(pauses.pausedUntil(address.toIncarnation()), limits.nextSendAt(address.toIncarnation(), now));
     }
 
     boolean isLeaving(TargetAddress address) {
@@ -230,7 +226,7 @@
      * @param now current time, in milliseconds
      */
     void recordPauseRequest(TargetAddress target, long millis, long now) {
-        availability.put(target, availability(target).afterPauseRequest(millis, now));
+        pauses.add(target.toIncarnation(), millis, now);
     }
 
     /**
@@ -278,7 +274,7 @@
     }
 
     private void updateHealth(TargetAddress target, UnaryOperator<TargetHealth> update) {
-        availability.computeIfPresent(target, (address, current) -> current.withHealth(update.apply(current.health())));
+        health.computeIfPresent(target, (address, current) -> update.apply(current));
     }
 
     /**
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/ExchangedState.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/ExchangedState.java
@@ -4,17 +4,23 @@
 import org.bamboohatch.gateway.quarantine.PromptQuarantine;
 import org.bamboohatch.gateway.target.LeavingTargets;
 import org.bamboohatch.gateway.target.TargetLimits;
+import org.bamboohatch.gateway.target.TargetPauses;
 
 /**
  * State of targets that the gateways exchange. Confined to the callers' event loop.
  *
  * @param loadTracker load of the targets
  * @param leavingTargets the targets that are about to end
+ * @param pauses the pauses that targets have asked for
  * @param limits the limits that targets have named
  * @param quarantine the prompt parts that end engines
  */
 public record ExchangedState(
-        LoadTracker loadTracker, LeavingTargets leavingTargets, TargetLimits limits, PromptQuarantine quarantine) {
+        LoadTracker loadTracker,
+        LeavingTargets leavingTargets,
+        TargetPauses pauses,
+        TargetLimits limits,
+        PromptQuarantine quarantine) {
 
     /**
      * Creates the state of a gateway that has not heard of any target.
@@ -26,6 +32,7 @@
         return new ExchangedState(
                 new LoadTracker(),
                 new LeavingTargets(),
+                new TargetPauses(),
                 new TargetLimits(settings.host()),
                 new PromptQuarantine(settings.promptQuarantineMillis()));
     }
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/GatewayLoad.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/GatewayLoad.java
@@ -29,6 +29,7 @@
  * @param crashes engines that have presumably crashed
  * @param generated suspected prompt parts on which responses were generated
  * @param limits limits that targets have named
+ * @param pauses pauses that targets have asked for
  */
 public record GatewayLoad(
         String gateway,
@@ -39,7 +40,8 @@
         List<LeavingTarget> leaving,
         List<Crash> crashes,
         List<GeneratedPart> generated,
-        List<Limit> limits)
+        List<Limit> limits,
+        List<Pause> pauses)
         implements Message {
 
     /** Suspects in one piece of a crash, so that several pieces fit into a datagram. */
@@ -52,6 +54,7 @@
         crashes = crashes == null ? List.of() : List.copyOf(crashes);
         generated = generated == null ? List.of() : List.copyOf(generated);
         limits = limits == null ? List.of() : List.copyOf(limits);
+        pauses = pauses == null ? List.of() : List.copyOf(pauses);
     }
 
     /**
@@ -153,6 +156,26 @@
         }
     }
 
+    /**
+     * Pause that a target has asked for.
+     *
+     * @param target name of the target
+     * @param incarnation number of the incarnation
+     * @param leftMillis time until the end of the pause, in milliseconds
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    @JsonPropertyOrder({"target", "incarnation", "leftMillis"})
+    public record Pause(TargetName target, long incarnation, long leftMillis) {
+
+        static Pause of(TargetIncarnation target, long until, long now) {
+            return new Pause(target.target(), target.number(), until - now);
+        }
+
+        TargetIncarnation toIncarnation() {
+            return new TargetIncarnation(target, incarnation);
+        }
+    }
+
     /**
      * Load at one target. Numbers are rounded and encoded as an array to keep reports small.
      *
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
@@ -31,6 +31,7 @@
 import org.bamboohatch.gateway.quarantine.PromptQuarantine.Observations;
 import org.bamboohatch.gateway.target.LeavingTargets;
 import org.bamboohatch.gateway.target.TargetLimits;
+import org.bamboohatch.gateway.target.TargetPauses;
 import org.bamboohatch.kernel.id.TargetIncarnation;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.id.ZoneName;
@@ -62,6 +63,8 @@
 
     private final LeavingTargets leavingTargets;
 
+    private final TargetPauses pauses;
+
     private final TargetLimits limits;
 
     private final PromptQuarantine quarantine;
@@ -97,15 +100,21 @@
      * @param leaving targets that are about to end
      * @param observations crashes of engines and the prompt parts that are suspected of them
      * @param limits limits that targets have named
+     * @param pauses the end of each pause that a target has asked for, in milliseconds, by target
      */
     private record Content(
             Map<TargetName, Workload> workloads,
             List<TargetIncarnation> leaving,
             Observations observations,
-            List<TargetLimits.Statement> limits) {
+            List<TargetLimits.Statement> limits,
+            Map<TargetIncarnation, Long> pauses) {
 
         boolean isEmpty() {
-            return workloads.isEmpty() && leaving.isEmpty() && observations.isEmpty() && limits.isEmpty();
+            return workloads.isEmpty()
+                    && leaving.isEmpty()
+                    && observations.isEmpty()
+                    && limits.isEmpty()
+                    && pauses.isEmpty();
         }
     }
 
@@ -118,6 +127,8 @@
 
         private final TargetLimits.PendingReport pendingLimits = limits.newReport();
 
+        private final TargetPauses.PendingReport pendingPauses = pauses.newReport();
+
         private final Set<TargetIncarnation> pendingLeaving = new LinkedHashSet<>();
 
         /**
@@ -132,7 +143,8 @@
                     complete ? pendingLoad.takeAll() : pendingLoad.takeChanges(),
                     List.copyOf(pendingLeaving),
                     complete ? pendingObservations.takeAll(now) : pendingObservations.takeChanges(),
-                    complete ? pendingLimits.takeAll(now) : pendingLimits.takeChanges());
+                    complete ? pendingLimits.takeAll(now) : pendingLimits.takeChanges(),
+                    complete ? pendingPauses.takeAll(now) : pendingPauses.takeChanges());
             pendingLeaving.clear();
             return content;
         }
@@ -161,6 +173,7 @@
         this.settings = settings;
         this.loadTracker = state.loadTracker();
         this.leavingTargets = state.leavingTargets();
+        this.pauses = state.pauses();
         this.limits = state.limits();
         this.quarantine = state.quarantine();
         this.loop = loop;
@@ -263,13 +276,17 @@
         List<GatewayLoad.Limit> namedLimits = content.limits().stream()
                 .map(statement -> GatewayLoad.Limit.of(statement, now))
                 .toList();
+        List<GatewayLoad.Pause> askedPauses = content.pauses().entrySet().stream()
+                .map(pause -> GatewayLoad.Pause.of(pause.getKey(), pause.getValue(), now))
+                .toList();
         int datagrams = IntStream.of(
                         1,
                         pages(targets, TARGETS_PER_REPORT),
                         pages(leaving, TARGETS_PER_REPORT),
                         pages(crashes, CRASHES_PER_REPORT),
                         pages(generated, TARGETS_PER_REPORT),
-                        pages(namedLimits, TARGETS_PER_REPORT))
+                        pages(namedLimits, TARGETS_PER_REPORT),
+                        pages(askedPauses, TARGETS_PER_REPORT))
                 .max()
                 .getAsInt();
         for (int datagram = 0; datagram < datagrams; datagram++) {
@@ -284,7 +301,8 @@
                             page(leaving, datagram, TARGETS_PER_REPORT),
                             page(crashes, datagram, CRASHES_PER_REPORT),
                             page(generated, datagram, TARGETS_PER_REPORT),
-                            page(namedLimits, datagram, TARGETS_PER_REPORT)));
+                            page(namedLimits, datagram, TARGETS_PER_REPORT),
+                            page(askedPauses, datagram, TARGETS_PER_REPORT)));
             receivers.forEach(receiver -> socket.write(new DatagramPacket(Unpooled.wrappedBuffer(report), receiver)));
         }
         socket.flush();
@@ -317,6 +335,7 @@
         report.targets().forEach(target -> workloads.put(target.target(), target.toWorkload()));
         loadTracker.applyReport(report.gateway(), workloads, now);
         report.leaving().forEach(target -> leavingTargets.addReported(target.toIncarnation(), now));
+        report.pauses().forEach(pause -> pauses.addReported(pause.toIncarnation(), now + pause.leftMillis(), now));
         report.limits().forEach(limit -> limits.apply(limit.toStatement(now), now));
         quarantine.apply(
                 new Observations(
--- /dev/null
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/TargetCatalogTest.java
@@ -0,0 +1,100 @@
+package org.bamboohatch.gateway.forward;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.bamboohatch.gateway.configuration.FleetView;
+import org.bamboohatch.gateway.load.ExchangedState;
+import org.bamboohatch.gateway.load.LoadTracker;
+import org.bamboohatch.gateway.quarantine.PromptQuarantine;
+import org.bamboohatch.gateway.target.LeavingTargets;
+import org.bamboohatch.gateway.target.TargetAddress;
+import org.bamboohatch.gateway.target.TargetLimits;
+import org.bamboohatch.gateway.target.TargetPauses;
+import org.bamboohatch.kernel.id.HostName;
+import org.bamboohatch.kernel.id.ServiceName;
+import org.bamboohatch.kernel.id.TargetName;
+import org.bamboohatch.kernel.id.ZoneName;
+import org.bamboohatch.protocol.message.TargetAnnouncement;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Word of a target binds and its observed health only ranks it, whatever follows what. */
+class TargetCatalogTest {
+
+    private static final ServiceName SERVICE = new ServiceName("portal");
+
+    private static final TargetAddress TARGET = new TargetAddress(new TargetName("target-a"), 7, "127.0.0.1:1");
+
+    private final ExchangedState state = new ExchangedState(
+            new LoadTracker(),
+            new LeavingTargets(),
+            new TargetPauses(),
+            new TargetLimits(new HostName("gateway-1")),
+            new PromptQuarantine(60_000));
+
+    private final TargetCatalog catalog = new TargetCatalog(new HostName("gateway-1"), new ZoneName("zone-a"), state);
+
+    @BeforeEach
+    void announceTarget() {
+        TargetAnnouncement announcement = new TargetAnnouncement(
+                TARGET.target(),
+                SERVICE,
+                new HostName("host"),
+                new ZoneName("zone-a"),
+                TARGET.address(),
+                TARGET.incarnation(),
+                List.of(),
+                0,
+                4,
+                false,
+                1);
+        catalog.apply(new FleetView(Optional.empty(), 1, 1, Map.of(TARGET.target(), announcement), List.of()), 0);
+    }
+
+    private boolean hasCandidate(long now) {
+        return catalog.hasCandidate(SERVICE, Set.of(), now);
+    }
+
+    @Test
+    void successDoesNotEndPause() {
+        catalog.recordPauseRequest(TARGET, 2_000, 100);
+        catalog.recordSuccess(TARGET);
+        assertThat(catalog.acceptsRequests(TARGET, 1_000)).isFalse();
+        assertThat(hasCandidate(1_000)).isFalse();
+        assertThat(hasCandidate(2_100)).isTrue();
+    }
+
+    @Test
+    void ejectionIsNoPause() {
+        for (int failure = 0; failure < 3; failure++) {
+            catalog.recordFailure(TARGET, 0);
+        }
+        assertThat(catalog.acceptsRequests(TARGET, 0)).isTrue();
+        assertThat(catalog.shortestPauseMillis(SERVICE, 0)).isEmpty();
+        assertThat(catalog.candidates(SERVICE, Set.of(), 0))
+                .as("the only one, though ejected")
+                .hasSize(1);
+    }
+
+    @Test
+    void aPauseThatAnotherGatewayReportsIsObeyed() {
+        state.pauses().addReported(TARGET.toIncarnation(), 2_000, 100);
+        assertThat(hasCandidate(1_999)).isFalse();
+        assertThat(catalog.shortestPauseMillis(SERVICE, 1_000)).hasValue(1_000);
+    }
+
+    @Test
+    void aTargetAtItsLimitIsNoCandidate() {
+        catalog.recordLimit(TARGET, 1, 100);
+        long sendAt = state.limits().nextSendAt(TARGET.toIncarnation(), 100);
+        catalog.recordDispatch(TARGET, sendAt);
+        assertThat(hasCandidate(sendAt + 500)).isFalse();
+        assertThat(catalog.shortestPauseMillis(SERVICE, sendAt)).isPresent();
+        assertThat(hasCandidate(sendAt + 1_001)).isTrue();
+    }
+}
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/TargetNoticesTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/TargetNoticesTest.java
@@ -24,6 +24,9 @@
 
     private static final int REQUESTS = 12;
 
+    /** Time in which a report certainly reaches another gateway, also if the first one is lost, in milliseconds. */
+    private static final long REPORT_MS = 2_500;
+
     private static boolean serve(FakeTarget.ReceivedRequest received, Socket connection) throws java.io.IOException {
         write(connection, answer(received.id(), "body of " + received.id()));
         return true;
@@ -98,6 +101,22 @@
     }
 
     /** The response arrives when the target is not announced; a later announcement makes it known again. */
+    /** The other gateway would have to be refused first, and again by each target that asks for a pause. */
+    @Test
+    void aPauseThatATargetAsksOneGatewayForBindsTheOther() throws Exception {
+        try (FakeTarget paused = new FakeTarget(refusing("30"));
+                GatewayHarness first = new GatewayHarness(paused);
+                GatewayHarness second = new GatewayHarness(paused)) {
+            first.exchangeWith(second);
+            first.call(request("GET", "/read/x", "a1", "", ""));
+            Thread.sleep(REPORT_MS);
+            assertThat(second.call(request("GET", "/read/x", "b1", "", "")))
+                    .startsWith("HTTP/1.1 503")
+                    .containsIgnoringCase("retry-after");
+            assertThat(paused.received).hasSize(1);
+        }
+    }
+
     @Test
     void aPauseOfATargetThatIsNotAnnouncedIsObeyed() throws Exception {
         CountDownLatch withdrawn = new CountDownLatch(1);
--- a/gateway/src/test/java/org/bamboohatch/gateway/load/LoadExchangeTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/load/LoadExchangeTest.java
@@ -17,6 +17,7 @@
 import org.bamboohatch.gateway.target.LeavingTargets;
 import org.bamboohatch.gateway.target.TargetAddress;
 import org.bamboohatch.gateway.target.TargetLimits;
+import org.bamboohatch.gateway.target.TargetPauses;
 import org.bamboohatch.kernel.id.HostName;
 import org.bamboohatch.kernel.id.PromptPartId;
 import org.bamboohatch.kernel.id.TargetIncarnation;
@@ -49,6 +50,8 @@
 
         private final LeavingTargets leavingTargets;
 
+        private final TargetPauses pauses;
+
         private final TargetLimits limits;
 
         private final PromptQuarantine quarantine;
@@ -73,6 +76,7 @@
             ExchangedState state = ExchangedState.empty(settings);
             loadTracker = state.loadTracker();
             leavingTargets = state.leavingTargets();
+            pauses = state.pauses();
             limits = state.limits();
             quarantine = state.quarantine();
             exchange = new LoadExchange(settings, state, loop);
@@ -174,6 +178,17 @@
         awaitOnLoop(() -> second.leavingTargets.contains(new TargetAddress(ENGINE, 7, "127.0.0.1:1")));
     }
 
+    @Test
+    void pausesOfTargetsAreReported() throws Exception {
+        start();
+        TargetIncarnation engine = new TargetIncarnation(ENGINE, 7);
+        onLoop(() -> {
+            first.pauses.add(engine, 30_000, GatewayClock.now());
+            return null;
+        });
+        awaitOnLoop(() -> second.pauses.pausedUntil(engine) > GatewayClock.now() + 20_000);
+    }
+
     @Test
     void limitsOfTargetsAreReported() throws Exception {
         start();
