Treat a stream without a length that ends before its first event as lost

A response may come with neither a length nor chunks and end with its connection. An engine that ended between the head of such a stream and its first event looked like one that had answered with nothing: the caller got a complete, empty stream, nothing was sent to another engine, and the end did not count against the prompt.

Evidence: aStreamWithoutALengthThatEndsBeforeItsFirstEventIsSentToAnotherTarget failed before (an empty 200, complete).

--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardingAttempt.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardingAttempt.java
@@ -303,10 +303,10 @@
         if (modeAtEnd == Mode.ENDED) {
             return;
         }
-        if (modeAtEnd == Mode.EVENTS && forwarded.framer().hasPartialEvent()) {
+        if (modeAtEnd == Mode.EVENTS && endsTooEarly()) {
             end();
             reportCrash();
-            forwarded.onLost(this, "stream ended within an event");
+            forwarded.onLost(this, "stream ended within an event or before the first one");
             return;
         }
         if (modeAtEnd == Mode.EVENTS || modeAtEnd == Mode.BUFFER) {
@@ -320,13 +320,22 @@
         if (modeAtEnd == Mode.DISCARD) {
             return;
         }
-        boolean generated = modeAtEnd != Mode.EVENTS || firstEventAt > 0;
-        if (generated && response.status().codeClass() == HttpStatusClass.SUCCESS) {
+        boolean whole = HttpTargetConnection.isFramed(response) && (modeAtEnd != Mode.EVENTS || firstEventAt > 0);
+        if (whole && response.status().codeClass() == HttpStatusClass.SUCCESS) {
             recordGeneration(GatewayClock.now());
         }
         forwarded.onResponseEnd(this, response);
     }
 
+    /**
+     * Indicates whether a stream that has ended was cut off.
+     *
+     * @return whether its last event is incomplete, or it has none and nothing but the connection shows its end
+     */
+    private boolean endsTooEarly() {
+        return forwarded.framer().hasPartialEvent() || firstEventAt == 0 && !HttpTargetConnection.isFramed(response);
+    }
+
     @Override
     public void onLost(LossCause cause) {
         boolean discarded = mode == Mode.DISCARD;
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/ForwardingTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/ForwardingTest.java
@@ -179,6 +179,26 @@
         }
     }
 
+    /** Such a stream ends with its connection, so its end looks the same after a crash of the target. */
+    @Test
+    void aStreamWithoutALengthThatEndsBeforeItsFirstEventIsSentToAnotherTarget() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        FakeTarget.Script endingFirst = (received, connection) -> {
+            String head = streamHead(received.id(), "s").replace("Transfer-Encoding: chunked\r\n", "");
+            write(connection, calls.getAndIncrement() == 0 ? head : head + "id: 1\ndata: a\n\n");
+            return false;
+        };
+        try (FakeTarget first = new FakeTarget(endingFirst);
+                FakeTarget second = new FakeTarget(endingFirst);
+                GatewayHarness gateway = new GatewayHarness(first, second)) {
+            assertThat(gateway.call(request("POST", "/stream/x", "a1", "", "prompt")))
+                    .startsWith("HTTP/1.1 200")
+                    .contains("data: a")
+                    .endsWith("0\r\n\r\n");
+            assertThat(receivedCount(first, second)).isEqualTo(2);
+        }
+    }
+
     @Test
     void anInterruptedStreamIsResumedAtAnotherTargetWithinTheSameResponse() throws Exception {
         FakeTarget.Script script = (received, connection) -> {
