Count the crash of an engine whose connections had been reset before

What callers would have seen: engines went on to end for seconds after the part that ends them could have been known.

Change: an incarnation ends once, so a much later end replaces a refuted earlier one.

--- a/gateway/src/main/java/org/bamboohatch/gateway/quarantine/PromptQuarantine.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/quarantine/PromptQuarantine.java
@@ -36,12 +36,6 @@
     /** Age up to which all suspects of a crash are reported again and reconsidered, in milliseconds. */
     private static final long CONCLUSION_MS = 10_000;
 
-    /** Time after a crash in which bytes may still arrive that the engine had sent before, in milliseconds. */
-    private static final long IN_FLIGHT_MS = 100;
-
-    /** Time after a crash in which no engine can have restarted; what answers in it never crashed, in milliseconds. */
-    private static final long SHORTEST_RESTART_MS = 1_500;
-
     /** Interval at which the age of crashes is checked, in milliseconds. */
     private static final long EXPIRY_CHECK_MS = 1_000;
 
@@ -112,7 +106,7 @@
         }
     }
 
-    /** What was observed and is still to be reported to some of the other gateways. */
+    /** Observations that are still to be reported to some of the other gateways. */
     public final class PendingReport {
 
         private final Set<TargetIncarnation> changedCrashes = new LinkedHashSet<>();
@@ -222,10 +216,7 @@
      */
     public void recordActivity(TargetIncarnation engine, long now) {
         EngineCrash crash = crashes.isEmpty() ? null : crashes.get(engine);
-        if (crash == null
-                || crash.state() == State.REFUTED
-                || now - crash.at() < IN_FLIGHT_MS
-                || now - crash.at() > SHORTEST_RESTART_MS) {
+        if (crash == null || crash.state() == State.REFUTED || !crash.isRefutedBy(now)) {
             return;
         }
         crashes.put(engine, crash.refute());
--- a/gateway/src/test/java/org/bamboohatch/gateway/quarantine/PromptQuarantineTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/quarantine/PromptQuarantineTest.java
@@ -97,6 +97,22 @@
         assertThat(refuses(second, BAD, 2_000)).isFalse();
     }
 
+    /** Connections are reset first; the same engines end later. */
+    @Test
+    void enginesWhoseConnectionsWereResetBeforeMayCrash() {
+        first.recordCrash(engine(0), List.of(COMMON), 1_000);
+        for (int number = 1; number < 3; number++) {
+            first.recordCrash(engine(number), List.of(COMMON), 1_000);
+            first.recordActivity(engine(number), 1_150);
+        }
+        exchange(1_200);
+        crash(3, 8_000);
+        exchange(8_010);
+        assertThat(refuses(first, BAD, 9_000)).isTrue();
+        assertThat(refuses(second, BAD, 9_000)).isTrue();
+        assertThat(refuses(second, COMMON, 9_000)).isFalse();
+    }
+
     /** Bytes that an engine sent before its end are read after it on another connection. */
     @Test
     void bytesThatWereUnderWayDoNotRefuteACrash() {
--- a/routing/src/main/java/org/bamboohatch/routing/quarantine/EngineCrash.java
+++ b/routing/src/main/java/org/bamboohatch/routing/quarantine/EngineCrash.java
@@ -28,6 +28,12 @@
         REFUTED
     }
 
+    /** Time after a crash in which bytes may still arrive that the engine had sent before, in milliseconds. */
+    private static final long IN_FLIGHT_MS = 100;
+
+    /** Time after a crash in which no engine can have restarted, in milliseconds. */
+    private static final long SHORTEST_RESTART_MS = 1_500;
+
     /** Number of suspects that are considered; limits the memory that callers can occupy. */
     private static final int MAX_SUSPECTS = 512;
 
@@ -37,21 +43,37 @@
     }
 
     /**
-     * Adds what another observer knows of the same crash. Its attribution is not adopted, as it may have known less.
+     * Adds what is reported of the same incarnation. An attribution is not adopted, as the reporter may have known less.
      *
-     * @param other the crash of the same incarnation as seen by the other observer
-     * @return this crash, with the suspects of both if neither knows the cause; refuted if either is
+     * @param other the reported crash
+     * @return this crash, with the suspects of both if neither knows the cause; refuted if either is. An incarnation ends
+     *     once, so if one of the two was much later and the earlier one is refuted, the later one alone counts
      */
     public EngineCrash merge(EngineCrash other) {
+        boolean otherIsLater = other.at > at + SHORTEST_RESTART_MS;
+        boolean otherIsEarlier = other.at < at - SHORTEST_RESTART_MS;
+        if (state == State.REFUTED && otherIsLater) {
+            return other;
+        }
         if (other.state == State.REFUTED) {
-            return refute();
+            return otherIsEarlier ? this : refute();
         }
         if (state != State.UNEXPLAINED || other.state != State.UNEXPLAINED) {
             return this;
         }
         Set<PromptPartId> union = new LinkedHashSet<>(suspects);
         union.addAll(other.suspects);
-        return new EngineCrash(engine, at, List.copyOf(union), State.UNEXPLAINED);
+        return new EngineCrash(engine, otherIsLater ? other.at : at, List.copyOf(union), State.UNEXPLAINED);
+    }
+
+    /**
+     * Indicates whether an answer of the engine shows that it has not crashed.
+     *
+     * @param answeredAt time of the answer, in milliseconds
+     * @return whether the engine can neither have sent it before the crash nor after a restart
+     */
+    public boolean isRefutedBy(long answeredAt) {
+        return answeredAt >= at + IN_FLIGHT_MS && answeredAt <= at + SHORTEST_RESTART_MS;
     }
 
     /**
