Tell gateways that start at once what the others know

The users' rule does not count a gateway in its first three seconds, engines do.

Change: a gateway that is new, or has restarted, makes the others send three complete reports in a row.

--- a/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
@@ -54,6 +54,9 @@
     /** Pieces of crashes in one datagram, each with several suspects. */
     private static final int CRASHES_PER_REPORT = 4;
 
+    /** Complete reports in a row after a gateway has started, as each of them may be lost. */
+    private static final int NEWCOMER_REPORTS = 3;
+
     /** Time for which a leaving target is named in each report of all load, as reports may be lost, in milliseconds. */
     private static final long LEAVING_REPEAT_MS = 5_000;
 
@@ -90,6 +93,9 @@
 
     private long lastCompleteReportAt;
 
+    /** Number of complete reports that are due for a gateway that has started and knows nothing yet. */
+    private int newcomerReportsDue;
+
     /** The socket, or null while the exchange is stopped. */
     private Channel socket;
 
@@ -217,7 +223,10 @@
         }
         limits.setGateways(gateways.size());
         peers.keySet().retainAll(present);
-        present.forEach(address -> peers.computeIfAbsent(address, added -> new Peer()));
+        present.forEach(address -> peers.computeIfAbsent(address, added -> {
+            newcomerReportsDue = NEWCOMER_REPORTS;
+            return new Peer();
+        }));
     }
 
     /**
@@ -226,7 +235,9 @@
      * @param now current time, in milliseconds
      */
     private void sendReports(long now) {
-        boolean completeDue = now - lastCompleteReportAt >= ReportSchedule.COMPLETE_INTERVAL_MS;
+        boolean completeDue =
+                newcomerReportsDue > 0 || now - lastCompleteReportAt >= ReportSchedule.COMPLETE_INTERVAL_MS;
+        newcomerReportsDue = Math.max(0, newcomerReportsDue - 1);
         List<InetSocketAddress> nearPeers = new ArrayList<>();
         List<InetSocketAddress> farPeers = new ArrayList<>();
         peers.forEach((address, peer) -> (isFar(peer) ? farPeers : nearPeers).add(address));
@@ -328,6 +339,9 @@
         if (peer.start == report.start() && report.number() <= peer.number) {
             return;
         }
+        if (peer.start != report.start()) {
+            newcomerReportsDue = NEWCOMER_REPORTS;
+        }
         peer.zone = report.zone();
         peer.start = report.start();
         peer.number = report.number();
