--- a/gateway/src/main/java/org/bamboohatch/gateway/GatewayProgram.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/GatewayProgram.java
@@ -98,6 +98,8 @@
         metrics.registerGauge(
                 "gateway.configuration.version", "version of the configuration in force", () -> store.view()
                         .configurationVersion());
+        metrics.registerGauge(
+                "gateway.quarantined", "prompt parts that are kept from engines", forwarder::quarantinedParts);
         metrics.registerGauge("gateway.targets", "targets that take work", () -> store.view()
                 .targets()
                 .size());
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
@@ -116,6 +116,15 @@
         return openRequests;
     }
 
+    /**
+     * Returns the number of prompt parts that are kept from engines.
+     *
+     * @return the number as of the last assessment
+     */
+    public int quarantinedParts() {
+        return quarantine.size();
+    }
+
     /** Refuses all further requests, because the end of the process could cut off their responses. */
     public void stopAdmitting() {
         admitting = false;
--- a/gateway/src/test/java/org/bamboohatch/gateway/quarantine/QuarantineSimulation.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/quarantine/QuarantineSimulation.java
@@ -16,7 +16,7 @@
  */
 final class QuarantineSimulation {
 
-    static final PromptPartId BAD = new PromptPartId("bad");
+    private static final PromptPartId BAD = new PromptPartId("bad");
 
     private static final long END_MS = 40_000;
 
@@ -36,6 +36,17 @@
 
     private static final long PROVEN_GENERATION_MS = 500;
 
+    /** Crashes after which the part must be found. */
+    private static final int CRASHES = 5;
+
+    private static final long CONTACT_MS = 3_000;
+
+    /** Requests with the part that may be sent to engines after the time of contact. */
+    private static final int LATE_SENDS = 3;
+
+    /** Share of the sound requests that may be refused because of a part. */
+    private static final double REFUSED_SHARE = 0.01;
+
     private final Random random;
 
     private final PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingLong(Event::at));
@@ -47,15 +58,15 @@
     private final int subjects;
 
     /** Times at which engines ended under the bad part, in milliseconds. */
-    final List<Long> crashes = new ArrayList<>();
+    private final List<Long> crashes = new ArrayList<>();
 
     /** Times at which requests with the bad part were sent to engines, in milliseconds. */
-    final List<Long> badSends = new ArrayList<>();
+    private final List<Long> badSends = new ArrayList<>();
 
     /** Times at which sound requests were refused because of a part, in milliseconds. */
-    final List<Long> soundRefusals = new ArrayList<>();
+    private final List<Long> soundRefusals = new ArrayList<>();
 
-    int soundRequests;
+    private int soundRequests;
 
     private long now;
 
@@ -163,6 +174,36 @@
         return this;
     }
 
+    /**
+     * Returns what went wrong.
+     *
+     * @return a sentence for each violation
+     */
+    List<String> violations() {
+        List<String> violations = new ArrayList<>();
+        long found = crashes.size() < CRASHES ? Long.MAX_VALUE : crashes.get(CRASHES - 1) + CONTACT_MS;
+        long lateSends = badSends.stream().filter(sent -> sent > found).count();
+        if (lateSends > LATE_SENDS) {
+            violations.add(lateSends + " late requests with the part, crashes at " + crashes);
+        }
+        if (soundRefusals.size() > REFUSED_SHARE * soundRequests) {
+            violations.add(soundRefusals.size() + " of " + soundRequests + " sound requests refused");
+        }
+        return violations;
+    }
+
+    int crashCount() {
+        return crashes.size();
+    }
+
+    int soundRequestCount() {
+        return soundRequests;
+    }
+
+    int soundRefusalCount() {
+        return soundRefusals.size();
+    }
+
     private void at(long time, Runnable action) {
         events.add(new Event(time, action));
     }
