--- /dev/null
+++ b/gateway/src/test/java/org/bamboohatch/gateway/load/GatewayLoadTest.java
@@ -0,0 +1,93 @@
+package org.bamboohatch.gateway.load;
+
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.bamboohatch.kernel.id.PromptPartId;
+import org.bamboohatch.kernel.id.TargetIncarnation;
+import org.bamboohatch.kernel.id.TargetName;
+import org.bamboohatch.kernel.id.ZoneName;
+import org.bamboohatch.protocol.message.MessageCodec;
+import org.bamboohatch.routing.quarantine.EngineCrash;
+import org.junit.jupiter.api.Test;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Load reports are understood by builds that know fewer or more of their parts. */
+class GatewayLoadTest {
+
+    private static final TargetName ENGINE = new TargetName("engine-a");
+
+    private static final GatewayLoad REPORT = new GatewayLoad(
+            "gateway-1",
+            new ZoneName("zone-a"),
+            1,
+            2,
+            List.of(),
+            List.of(),
+            List.of(new GatewayLoad.Crash(
+                    ENGINE, 7, 100, List.of(new PromptPartId("part")), EngineCrash.State.UNEXPLAINED)),
+            List.of(new GatewayLoad.GeneratedPart(new PromptPartId("part"), 200)),
+            List.of(new GatewayLoad.Limit(ENGINE, 7, 1.5, 300), new GatewayLoad.Limit(ENGINE, 8, null, 300)),
+            List.of(new GatewayLoad.Pause(ENGINE, 7, 400)));
+
+    /** Decodes the report after a change of its encoded fields, which follow the name of the message type. */
+    private static GatewayLoad decodeChanged(Consumer<Map<String, Object>> change) throws Exception {
+        ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
+        List<Object> message = mapper.readValue(MessageCodec.instance().encode(REPORT), new TypeReference<>() {});
+        Map<String, Object> fields = mapper.convertValue(message.get(1), new TypeReference<>() {});
+        change.accept(fields);
+        byte[] changed = mapper.writeValueAsBytes(List.of(message.get(0), fields));
+        return MessageCodec.instance().decode(changed, GatewayLoad.class);
+    }
+
+    @Test
+    void allPartsAreEncoded() throws Exception {
+        byte[] encoded = MessageCodec.instance().encode(REPORT);
+        assertThat(MessageCodec.instance().decode(encoded, GatewayLoad.class)).isEqualTo(REPORT);
+    }
+
+    /** The gateways of an installation are updated one after the other. */
+    @Test
+    void aReportOfABuildWithFewerPartsIsUnderstood() throws Exception {
+        GatewayLoad decoded =
+                decodeChanged(fields -> fields.keySet().removeAll(List.of("crashes", "generated", "limits", "pauses")));
+        assertThat(decoded.gateway()).isEqualTo("gateway-1");
+        assertThat(decoded.crashes()).isEmpty();
+        assertThat(decoded.generated()).isEmpty();
+        assertThat(decoded.limits()).isEmpty();
+        assertThat(decoded.pauses()).isEmpty();
+    }
+
+    @Test
+    void aReportOfABuildWithMorePartsIsUnderstood() throws Exception {
+        assertThat(decodeChanged(fields -> fields.put("later", List.of(1)))).isEqualTo(REPORT);
+    }
+
+    @Test
+    void aCrashWithManySuspectsIsReportedInPieces() {
+        List<PromptPartId> suspects = IntStream.range(0, 40)
+                .mapToObj(number -> new PromptPartId("part-" + number))
+                .toList();
+        EngineCrash crash =
+                new EngineCrash(new TargetIncarnation(ENGINE, 7), 1_000, suspects, EngineCrash.State.UNEXPLAINED);
+        EngineCrash merged = GatewayLoad.Crash.of(crash, 1_100)
+                .map(piece -> piece.toEngineCrash(1_100))
+                .reduce(EngineCrash::merge)
+                .orElseThrow();
+        assertThat(merged).isEqualTo(crash);
+    }
+
+    @Test
+    void aRefutedCrashWithoutSuspectsIsReported() {
+        EngineCrash crash =
+                new EngineCrash(new TargetIncarnation(ENGINE, 7), 1_000, List.of(), EngineCrash.State.REFUTED);
+        assertThat(GatewayLoad.Crash.of(crash, 1_100).map(piece -> piece.toEngineCrash(1_100)))
+                .containsExactly(crash);
+    }
+}
