Log a fingerprint of each request that is lost, and in its summary

The lines name account, route and prompt parts, but neither path nor body, so the request that ends engines cannot be told from others of its caller on the same route. The fingerprint stands for account, method, host, path, query and body.

--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardedRequest.java
@@ -80,7 +80,8 @@
         List<PromptPartId> promptParts = PromptParts.shared(request.headers().get(dialect.promptParts()));
         this.promptMonitor = new PromptMonitor(forwarder.quarantine(), forwarder.targets(), promptParts);
         String requestId = request.headers().get(dialect.requestId());
-        this.log = new RequestLog(forwarder.decisionLog(), requestId, admitted, demand, promptParts);
+        String fingerprint = RequestFingerprint.of(request, admitted.account());
+        this.log = new RequestLog(forwarder.decisionLog(), requestId, admitted, demand, promptParts, fingerprint);
     }
 
     /** Starts the deadline timer and the first attempt. */
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/RequestLog.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/RequestLog.java
@@ -24,6 +24,8 @@
 
     private final List<PromptPartId> promptParts;
 
+    private final String fingerprint;
+
     /**
      * Creates a log of a request.
      *
@@ -32,13 +34,21 @@
      * @param admitted route, service and account of the request
      * @param demand what the request needs from a target
      * @param promptParts parts of the prompt that other requests may have in common with this one
+     * @param fingerprint identifies requests of the same content
      */
-    RequestLog(DecisionLog log, String requestId, Admitted admitted, Demand demand, List<PromptPartId> promptParts) {
+    RequestLog(
+            DecisionLog log,
+            String requestId,
+            Admitted admitted,
+            Demand demand,
+            List<PromptPartId> promptParts,
+            String fingerprint) {
         this.log = log;
         this.requestId = requestId;
         this.admitted = admitted;
         this.demand = demand;
         this.promptParts = promptParts;
+        this.fingerprint = fingerprint;
     }
 
     /**
@@ -100,6 +110,7 @@
                 .with(
                         "promptParts",
                         promptParts.stream().limit(MAX_LOGGED_PARTS).toList())
+                .with("fingerprint", fingerprint)
                 .write();
     }
 
@@ -119,6 +130,6 @@
      * @return the line, to be completed and written by the caller
      */
     DecisionLog.Line summary(String event, Category category, String detail) {
-        return line(category, event).with("detail", detail);
+        return line(category, event).with("detail", detail).with("fingerprint", fingerprint);
     }
 }
