--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardedRequest.java
@@ -15,15 +15,15 @@
 import org.bamboohatch.gateway.http.CallerRequestHandler;
 import org.bamboohatch.gateway.http.InboundRequest;
 import org.bamboohatch.gateway.http.Responder;
-import org.bamboohatch.gateway.quarantine.PromptQuarantine;
 import org.bamboohatch.gateway.target.HttpTargetConnection;
-import org.bamboohatch.kernel.id.PromptPartId;
+import org.bamboohatch.kernel.id.RequestTrait;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.log.DecisionLog.Category;
 import org.bamboohatch.kernel.outcome.ErrorCode;
 import org.bamboohatch.kernel.outcome.Refusal;
 import org.bamboohatch.kernel.outcome.RunOutcome;
 import org.bamboohatch.routing.fleet.Demand;
+import org.bamboohatch.routing.quarantine.RequestQuarantine;
 
 /** An admitted request, from its admission to the end of the response. */
 final class ForwardedRequest implements CallerRequestHandler.Listener {
@@ -38,7 +38,7 @@
 
     private final Demand demand;
 
-    private final PromptMonitor promptMonitor;
+    private final RequestMonitor monitor;
 
     private final RequestLog log;
 
@@ -77,8 +77,8 @@
         this.admitted = admitted;
         this.demand = demand;
         Dialect dialect = forwarder.dialect();
-        List<PromptPartId> promptParts = PromptParts.shared(request.headers().get(dialect.promptParts()));
-        this.promptMonitor = new PromptMonitor(forwarder.quarantine(), forwarder.targets(), promptParts);
+        List<RequestTrait> promptParts = PromptParts.shared(request.headers().get(dialect.promptParts()));
+        this.monitor = new RequestMonitor(forwarder.quarantine(), forwarder.targets(), promptParts);
         String requestId = request.headers().get(dialect.requestId());
         String fingerprint = RequestFingerprint.of(request, admitted.account());
         this.log = new RequestLog(forwarder.decisionLog(), requestId, admitted, demand, promptParts, fingerprint);
@@ -108,8 +108,8 @@
         return framer;
     }
 
-    PromptMonitor promptMonitor() {
-        return promptMonitor;
+    RequestMonitor monitor() {
+        return monitor;
     }
 
     Dialect dialect() {
@@ -123,7 +123,7 @@
     /** Places the request at the currently best targets and begins an attempt there. */
     private void sendToNextTarget() {
         long now = GatewayClock.now();
-        Optional<PromptQuarantine.Entry> quarantined = promptMonitor.findQuarantined(now);
+        Optional<RequestQuarantine.Entry> quarantined = monitor.findQuarantined(now);
         if (quarantined.isPresent()) {
             giveUpQuarantined(now, quarantined.get());
             return;
@@ -210,7 +210,7 @@
     private void send(ForwardingAttempt attempt, HttpTargetConnection connection) {
         long now = GatewayClock.now();
         boolean accepted = forwarder.targets().acceptsRequests(attempt.target(), now)
-                && promptMonitor.findQuarantined(now).isEmpty();
+                && monitor.findQuarantined(now).isEmpty();
         if (attempt.isEnded() || !responder.isConnected() || now >= admitted.deadline() || !accepted) {
             forwarder.pool().returnUnused(connection, now);
             withdraw(attempt, now);
@@ -412,8 +412,8 @@
         giveUp(now, reason, refusal);
     }
 
-    private void giveUpQuarantined(long now, PromptQuarantine.Entry entry) {
-        String reason = "part " + entry.part() + " of the prompt has ended engines";
+    private void giveUpQuarantined(long now, RequestQuarantine.Entry entry) {
+        String reason = "part " + entry.trait() + " of the prompt has ended engines";
         Refusal refusal = Refusal.notRun(ErrorCode.PROMPT_QUARANTINED, "No target gets the request: " + reason + ".")
                 .withRetryAfter(Duration.ofMillis(entry.until() - now));
         giveUp(now, reason, refusal);
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
@@ -19,7 +19,6 @@
 import org.bamboohatch.gateway.http.InboundRequest;
 import org.bamboohatch.gateway.http.Responder;
 import org.bamboohatch.gateway.load.ExchangedState;
-import org.bamboohatch.gateway.quarantine.PromptQuarantine;
 import org.bamboohatch.gateway.target.TargetAddress;
 import org.bamboohatch.gateway.target.TargetConnectionPool;
 import org.bamboohatch.kernel.id.ServiceName;
@@ -28,6 +27,7 @@
 import org.bamboohatch.kernel.outcome.ErrorCode;
 import org.bamboohatch.kernel.outcome.Refusal;
 import org.bamboohatch.routing.fleet.Demand;
+import org.bamboohatch.routing.quarantine.RequestQuarantine;
 import org.bamboohatch.routing.retry.ReturnDelay;
 import org.bamboohatch.routing.retry.SharedRetryBudget;
 
@@ -53,7 +53,7 @@
 
     private final TargetCatalog targets;
 
-    private final PromptQuarantine quarantine;
+    private final RequestQuarantine quarantine;
 
     /** Retry budgets by service. */
     private final Map<ServiceName, SharedRetryBudget> budgets = new HashMap<>();
@@ -288,7 +288,7 @@
         return dispatcher;
     }
 
-    PromptQuarantine quarantine() {
+    RequestQuarantine quarantine() {
         return quarantine;
     }
 
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardingAttempt.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardingAttempt.java
@@ -186,7 +186,7 @@
     public void onHead(HttpResponse head) {
         response = head;
         lastActivityAt = GatewayClock.now();
-        forwarded.promptMonitor().recordActivity(target(), lastActivityAt);
+        forwarded.monitor().recordActivity(target(), lastActivityAt);
         boolean success = head.status().codeClass() == HttpStatusClass.SUCCESS;
         boolean sealed = head.headers().contains(forwarded.dialect().seal());
         boolean encoded = head.headers().contains(HttpHeaderNames.CONTENT_ENCODING);
@@ -232,7 +232,7 @@
         long now = GatewayClock.now();
         long progressBefore = forwarded.framer().progress();
         byte[] events = forwarded.framer().append(part, now);
-        forwarded.promptMonitor().recordActivity(target(), now);
+        forwarded.monitor().recordActivity(target(), now);
         if (forwarded.framer().progress() > progressBefore) {
             lastActivityAt = now;
             firstEventAt = firstEventAt == 0 ? now : firstEventAt;
@@ -253,7 +253,7 @@
     private void recordGeneration(long now) {
         if (!generationRecorded) {
             generationRecorded = true;
-            forwarded.promptMonitor().recordGeneration(now);
+            forwarded.monitor().recordGeneration(now);
         }
     }
 
@@ -356,7 +356,7 @@
     private void reportCrash() {
         long now = GatewayClock.now();
         if (firstEventAt == 0 || now - firstEventAt < PROVEN_GENERATION_MS) {
-            forwarded.promptMonitor().recordCrash(target(), now);
+            forwarded.monitor().recordCrash(target(), now);
         }
     }
 
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/PromptParts.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/PromptParts.java
@@ -3,7 +3,7 @@
 import java.util.Arrays;
 import java.util.List;
 
-import org.bamboohatch.kernel.id.PromptPartId;
+import org.bamboohatch.kernel.id.RequestTrait;
 
 /** Reads the header field in which a caller lists the parts of its prompt. */
 final class PromptParts {
@@ -20,14 +20,14 @@
      * @param value value of the header field, or null if the request has none
      * @return ids of the first {@value #MAX_PARTS} shared parts, in the order of the prompt
      */
-    static List<PromptPartId> shared(String value) {
+    static List<RequestTrait> shared(String value) {
         if (value == null) {
             return List.of();
         }
         String[] parts = value.split(",");
         return Arrays.stream(parts, 0, Math.min(MAX_PARTS, parts.length - 1))
                 .map(part -> part.contains(":") ? part.substring(0, part.indexOf(':')) : part)
-                .map(id -> new PromptPartId(id.strip()))
+                .map(id -> new RequestTrait(id.strip()))
                 .distinct()
                 .toList();
     }
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/RequestLog.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/RequestLog.java
@@ -3,7 +3,7 @@
 import java.util.List;
 
 import org.bamboohatch.gateway.forward.AdmissionResult.Admitted;
-import org.bamboohatch.kernel.id.PromptPartId;
+import org.bamboohatch.kernel.id.RequestTrait;
 import org.bamboohatch.kernel.log.DecisionLog;
 import org.bamboohatch.kernel.log.DecisionLog.Category;
 import org.bamboohatch.routing.fleet.Demand;
@@ -22,7 +22,7 @@
 
     private final Demand demand;
 
-    private final List<PromptPartId> promptParts;
+    private final List<RequestTrait> promptParts;
 
     private final String fingerprint;
 
@@ -41,7 +41,7 @@
             String requestId,
             Admitted admitted,
             Demand demand,
-            List<PromptPartId> promptParts,
+            List<RequestTrait> promptParts,
             String fingerprint) {
         this.log = log;
         this.requestId = requestId;
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/PromptMonitor.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/RequestMonitor.java
@@ -3,18 +3,18 @@
 import java.util.List;
 import java.util.Optional;
 
-import org.bamboohatch.gateway.quarantine.PromptQuarantine;
 import org.bamboohatch.gateway.target.TargetAddress;
-import org.bamboohatch.kernel.id.PromptPartId;
+import org.bamboohatch.kernel.id.RequestTrait;
+import org.bamboohatch.routing.quarantine.RequestQuarantine;
 
 /** Reports what the prompt of one request does to engines, and tells whether it may still be sent to any. */
-final class PromptMonitor {
+final class RequestMonitor {
 
-    private final PromptQuarantine quarantine;
+    private final RequestQuarantine quarantine;
 
     private final TargetCatalog targets;
 
-    private final List<PromptPartId> promptParts;
+    private final List<RequestTrait> promptParts;
 
     /**
      * Creates a monitor of one prompt.
@@ -23,7 +23,7 @@
      * @param targets the known targets
      * @param promptParts parts of the prompt that other requests may have in common with this one
      */
-    PromptMonitor(PromptQuarantine quarantine, TargetCatalog targets, List<PromptPartId> promptParts) {
+    RequestMonitor(RequestQuarantine quarantine, TargetCatalog targets, List<RequestTrait> promptParts) {
         this.quarantine = quarantine;
         this.targets = targets;
         this.promptParts = promptParts;
@@ -35,7 +35,7 @@
      * @param now current time, in milliseconds
      * @return the part, empty if the request may be sent
      */
-    Optional<PromptQuarantine.Entry> findQuarantined(long now) {
+    Optional<RequestQuarantine.Entry> findQuarantined(long now) {
         return quarantine.find(promptParts, now);
     }
 
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/ExchangedState.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/ExchangedState.java
@@ -1,10 +1,10 @@
 package org.bamboohatch.gateway.load;
 
 import org.bamboohatch.gateway.GatewaySettings;
-import org.bamboohatch.gateway.quarantine.PromptQuarantine;
 import org.bamboohatch.gateway.target.LeavingTargets;
 import org.bamboohatch.gateway.target.TargetLimits;
 import org.bamboohatch.gateway.target.TargetPauses;
+import org.bamboohatch.routing.quarantine.RequestQuarantine;
 
 /**
  * State of targets that the gateways exchange. Confined to the callers' event loop.
@@ -13,14 +13,14 @@
  * @param leavingTargets the targets that are about to end
  * @param pauses the pauses that targets have asked for
  * @param limits the limits that targets have named
- * @param quarantine the prompt parts that end engines
+ * @param quarantine the traits of requests that end targets
  */
 public record ExchangedState(
         LoadTracker loadTracker,
         LeavingTargets leavingTargets,
         TargetPauses pauses,
         TargetLimits limits,
-        PromptQuarantine quarantine) {
+        RequestQuarantine quarantine) {
 
     /**
      * Creates the state of a gateway that has not heard of any target.
@@ -34,6 +34,6 @@
                 new LeavingTargets(),
                 new TargetPauses(),
                 new TargetLimits(settings.host()),
-                new PromptQuarantine(settings.promptQuarantineMillis()));
+                new RequestQuarantine(settings.promptQuarantineMillis(), new QuarantineLog()));
     }
 }
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/GatewayLoad.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/GatewayLoad.java
@@ -8,14 +8,14 @@
 import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.annotation.JsonPropertyOrder;
 import org.bamboohatch.gateway.target.TargetLimits;
-import org.bamboohatch.kernel.id.PromptPartId;
+import org.bamboohatch.kernel.id.RequestTrait;
 import org.bamboohatch.kernel.id.TargetIncarnation;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.id.ZoneName;
 import org.bamboohatch.protocol.message.Message;
 import org.bamboohatch.protocol.message.MessageCatalog;
 import org.bamboohatch.routing.fleet.Workload;
-import org.bamboohatch.routing.quarantine.EngineCrash;
+import org.bamboohatch.routing.quarantine.TargetCrash;
 
 /**
  * Load report that a gateway sends to another gateway. Reports may be lost or overtake each other.
@@ -88,7 +88,7 @@
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     @JsonPropertyOrder({"target", "incarnation", "ageMillis", "suspects", "state"})
     public record Crash(
-            TargetName target, long incarnation, long ageMillis, List<PromptPartId> suspects, EngineCrash.State state) {
+            TargetName target, long incarnation, long ageMillis, List<RequestTrait> suspects, TargetCrash.State state) {
 
         /** Copies the list. */
         public Crash {
@@ -102,8 +102,8 @@
          * @param now current time, in milliseconds
          * @return pieces with at most {@value #SUSPECTS_PER_PIECE} suspects each
          */
-        static Stream<Crash> of(EngineCrash crash, long now) {
-            TargetIncarnation engine = crash.engine();
+        static Stream<Crash> of(TargetCrash crash, long now) {
+            TargetIncarnation engine = crash.incarnation();
             int size = crash.suspects().size();
             return IntStream.iterate(0, start -> start == 0 || start < size, start -> start + SUSPECTS_PER_PIECE)
                     .mapToObj(start -> new Crash(
@@ -114,8 +114,8 @@
                             crash.state()));
         }
 
-        EngineCrash toEngineCrash(long now) {
-            return new EngineCrash(new TargetIncarnation(target, incarnation), now - ageMillis, suspects, state);
+        TargetCrash toTargetCrash(long now) {
+            return new TargetCrash(new TargetIncarnation(target, incarnation), now - ageMillis, suspects, state);
         }
     }
 
@@ -127,7 +127,7 @@
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     @JsonPropertyOrder({"part", "ageMillis"})
-    public record GeneratedPart(PromptPartId part, long ageMillis) {}
+    public record GeneratedPart(RequestTrait part, long ageMillis) {}
 
     /**
      * Limit of a target on the requests that it takes from all gateways together.
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
@@ -27,8 +27,6 @@
 import org.apache.logging.log4j.Logger;
 import org.bamboohatch.gateway.GatewayClock;
 import org.bamboohatch.gateway.GatewaySettings;
-import org.bamboohatch.gateway.quarantine.PromptQuarantine;
-import org.bamboohatch.gateway.quarantine.PromptQuarantine.Observations;
 import org.bamboohatch.gateway.target.LeavingTargets;
 import org.bamboohatch.gateway.target.TargetLimits;
 import org.bamboohatch.gateway.target.TargetPauses;
@@ -39,6 +37,8 @@
 import org.bamboohatch.protocol.message.MessageCodec;
 import org.bamboohatch.protocol.transport.Network;
 import org.bamboohatch.routing.fleet.Workload;
+import org.bamboohatch.routing.quarantine.RequestQuarantine;
+import org.bamboohatch.routing.quarantine.RequestQuarantine.Observations;
 
 /**
  * Sends this gateway's load reports to the other gateways as datagrams and applies theirs. A lost report is corrected by the
@@ -70,7 +70,7 @@
 
     private final TargetLimits limits;
 
-    private final PromptQuarantine quarantine;
+    private final RequestQuarantine quarantine;
 
     private final EventLoop loop;
 
@@ -129,7 +129,7 @@
 
         private final LoadTracker.PendingReport pendingLoad = loadTracker.newReport();
 
-        private final PromptQuarantine.PendingReport pendingObservations = quarantine.newReport();
+        private final RequestQuarantine.PendingReport pendingObservations = quarantine.newReport();
 
         private final TargetLimits.PendingReport pendingLimits = limits.newReport();
 
@@ -354,7 +354,7 @@
         quarantine.apply(
                 new Observations(
                         report.crashes().stream()
-                                .map(crash -> crash.toEngineCrash(now))
+                                .map(crash -> crash.toTargetCrash(now))
                                 .toList(),
                         report.generated().stream()
                                 .collect(Collectors.toMap(
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/TargetCatalogTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/TargetCatalogTest.java
@@ -8,7 +8,6 @@
 import org.bamboohatch.gateway.configuration.FleetView;
 import org.bamboohatch.gateway.load.ExchangedState;
 import org.bamboohatch.gateway.load.LoadTracker;
-import org.bamboohatch.gateway.quarantine.PromptQuarantine;
 import org.bamboohatch.gateway.target.LeavingTargets;
 import org.bamboohatch.gateway.target.TargetAddress;
 import org.bamboohatch.gateway.target.TargetLimits;
@@ -18,6 +17,7 @@
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.id.ZoneName;
 import org.bamboohatch.protocol.message.TargetAnnouncement;
+import org.bamboohatch.routing.quarantine.RequestQuarantine;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -35,7 +35,7 @@
             new LeavingTargets(),
             new TargetPauses(),
             new TargetLimits(new HostName("gateway-1")),
-            new PromptQuarantine(60_000));
+            new RequestQuarantine(60_000, RequestQuarantine.Observer.Disabled.INSTANCE));
 
     private final TargetCatalog catalog = new TargetCatalog(new HostName("gateway-1"), new ZoneName("zone-a"), state);
 
--- a/gateway/src/test/java/org/bamboohatch/gateway/load/GatewayLoadTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/load/GatewayLoadTest.java
@@ -7,12 +7,12 @@
 
 import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import org.bamboohatch.kernel.id.PromptPartId;
+import org.bamboohatch.kernel.id.RequestTrait;
 import org.bamboohatch.kernel.id.TargetIncarnation;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.id.ZoneName;
 import org.bamboohatch.protocol.message.MessageCodec;
-import org.bamboohatch.routing.quarantine.EngineCrash;
+import org.bamboohatch.routing.quarantine.TargetCrash;
 import org.junit.jupiter.api.Test;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
@@ -31,8 +31,8 @@
             List.of(),
             List.of(),
             List.of(new GatewayLoad.Crash(
-                    ENGINE, 7, 100, List.of(new PromptPartId("part")), EngineCrash.State.UNEXPLAINED)),
-            List.of(new GatewayLoad.GeneratedPart(new PromptPartId("part"), 200)),
+                    ENGINE, 7, 100, List.of(new RequestTrait("part")), TargetCrash.State.UNEXPLAINED)),
+            List.of(new GatewayLoad.GeneratedPart(new RequestTrait("part"), 200)),
             List.of(new GatewayLoad.Limit(ENGINE, 7, 1.5, 300), new GatewayLoad.Limit(ENGINE, 8, null, 300)),
             List.of(new GatewayLoad.Pause(ENGINE, 7, 400)));
 
@@ -71,23 +71,23 @@
 
     @Test
     void aCrashWithManySuspectsIsReportedInPieces() {
-        List<PromptPartId> suspects = IntStream.range(0, 40)
-                .mapToObj(number -> new PromptPartId("part-" + number))
+        List<RequestTrait> suspects = IntStream.range(0, 40)
+                .mapToObj(number -> new RequestTrait("part-" + number))
                 .toList();
-        EngineCrash crash =
-                new EngineCrash(new TargetIncarnation(ENGINE, 7), 1_000, suspects, EngineCrash.State.UNEXPLAINED);
-        EngineCrash merged = GatewayLoad.Crash.of(crash, 1_100)
-                .map(piece -> piece.toEngineCrash(1_100))
-                .reduce(EngineCrash::merge)
+        TargetCrash crash =
+                new TargetCrash(new TargetIncarnation(ENGINE, 7), 1_000, suspects, TargetCrash.State.UNEXPLAINED);
+        TargetCrash merged = GatewayLoad.Crash.of(crash, 1_100)
+                .map(piece -> piece.toTargetCrash(1_100))
+                .reduce(TargetCrash::merge)
                 .orElseThrow();
         assertThat(merged).isEqualTo(crash);
     }
 
     @Test
     void aRefutedCrashWithoutSuspectsIsReported() {
-        EngineCrash crash =
-                new EngineCrash(new TargetIncarnation(ENGINE, 7), 1_000, List.of(), EngineCrash.State.REFUTED);
-        assertThat(GatewayLoad.Crash.of(crash, 1_100).map(piece -> piece.toEngineCrash(1_100)))
+        TargetCrash crash =
+                new TargetCrash(new TargetIncarnation(ENGINE, 7), 1_000, List.of(), TargetCrash.State.REFUTED);
+        assertThat(GatewayLoad.Crash.of(crash, 1_100).map(piece -> piece.toTargetCrash(1_100)))
                 .containsExactly(crash);
     }
 }
--- a/gateway/src/test/java/org/bamboohatch/gateway/load/LoadExchangeTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/load/LoadExchangeTest.java
@@ -13,16 +13,16 @@
 import io.netty.channel.nio.NioIoHandler;
 import org.bamboohatch.gateway.GatewayClock;
 import org.bamboohatch.gateway.GatewaySettings;
-import org.bamboohatch.gateway.quarantine.PromptQuarantine;
 import org.bamboohatch.gateway.target.LeavingTargets;
 import org.bamboohatch.gateway.target.TargetAddress;
 import org.bamboohatch.gateway.target.TargetLimits;
 import org.bamboohatch.gateway.target.TargetPauses;
 import org.bamboohatch.kernel.id.HostName;
-import org.bamboohatch.kernel.id.PromptPartId;
+import org.bamboohatch.kernel.id.RequestTrait;
 import org.bamboohatch.kernel.id.TargetIncarnation;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.id.ZoneName;
+import org.bamboohatch.routing.quarantine.RequestQuarantine;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -54,7 +54,7 @@
 
         private final TargetLimits limits;
 
-        private final PromptQuarantine quarantine;
+        private final RequestQuarantine quarantine;
 
         private final LoadExchange exchange;
 
@@ -203,8 +203,8 @@
     @Test
     void crashesOfEnginesAreReportedWithAllSuspects() throws Exception {
         start();
-        List<PromptPartId> suspects = IntStream.range(0, 40)
-                .mapToObj(number -> new PromptPartId("part-" + number))
+        List<RequestTrait> suspects = IntStream.range(0, 40)
+                .mapToObj(number -> new RequestTrait("part-" + number))
                 .toList();
         for (int number = 0; number < 3; number++) {
             TargetIncarnation engine = new TargetIncarnation(new TargetName("engine-" + number), 7);
--- a/gateway/src/main/java/org/bamboohatch/gateway/quarantine/PromptQuarantine.java
+++ b/routing/src/main/java/org/bamboohatch/routing/quarantine/RequestQuarantine.java
@@ -1,4 +1,4 @@
-package org.bamboohatch.gateway.quarantine;
+package org.bamboohatch.routing.quarantine;
 
 import java.util.ArrayList;
 import java.util.Collection;
@@ -12,20 +12,15 @@
 import java.util.Optional;
 import java.util.Set;
 
-import org.bamboohatch.kernel.id.PromptPartId;
+import org.bamboohatch.kernel.id.RequestTrait;
 import org.bamboohatch.kernel.id.TargetIncarnation;
-import org.bamboohatch.kernel.log.DecisionLog;
-import org.bamboohatch.kernel.log.DecisionLog.Category;
-import org.bamboohatch.routing.quarantine.CrashAttribution;
-import org.bamboohatch.routing.quarantine.EngineCrash;
-import org.bamboohatch.routing.quarantine.EngineCrash.State;
+import org.bamboohatch.routing.quarantine.TargetCrash.State;
 
 /**
- * Keeps requests from engines if their prompts have a part that ends engines. What gateways observe of crashes and of
- * responses is combined, so all come to the same conclusion; it is withdrawn when a response refutes it. Confined to the
- * callers' event loop.
+ * Keeps requests from targets if they have a trait that ends targets. What gateways observe of crashes and of responses is
+ * combined, so all come to the same conclusion; it is withdrawn when a response refutes it. Not thread-safe.
  */
-public final class PromptQuarantine {
+public final class RequestQuarantine {
 
     /** Time after a crash before it counts, in milliseconds, in which others report on it and on its suspects. */
     static final long SETTLING_MS = 250;
@@ -39,53 +34,87 @@
     /** Interval at which the age of crashes is checked, in milliseconds. */
     private static final long EXPIRY_CHECK_MS = 1_000;
 
-    /** Crashes that are remembered for each part in quarantine; enough to show the case to a gateway that starts. */
-    private static final int CRASHES_PER_PART = CrashAttribution.requiredCrashes(true) + 2;
+    /** Crashes that are remembered for each trait in quarantine; enough to show the case to a gateway that starts. */
+    private static final int CRASHES_PER_TRAIT = CrashAttribution.requiredCrashes(true) + 2;
 
     /** Crashes that are remembered; beyond that the oldest one is forgotten. */
     private static final int MAX_CRASHES = 256;
 
-    /** Parts of which the last response is remembered; beyond that the one least recently generated on is forgotten. */
-    private static final int MAX_GENERATED_PARTS = 8_192;
+    /** Traits of which the last response is remembered; beyond that the one least recently generated on is forgotten. */
+    private static final int MAX_GENERATED_TRAITS = 8_192;
 
     private final long durationMillis;
 
-    private final DecisionLog log = new DecisionLog("quarantine");
+    private final Observer observer;
 
-    private final Map<TargetIncarnation, EngineCrash> crashes = new LinkedHashMap<>();
+    private final Map<TargetIncarnation, TargetCrash> crashes = new LinkedHashMap<>();
 
-    /** Time at which a response was last generated on a part, in milliseconds, by part. */
-    private final Map<PromptPartId, Long> generatedAt = new LinkedHashMap<>(16, 0.75f, true) {
+    /** Time at which a response was last generated on a trait, in milliseconds, by trait. */
+    private final Map<RequestTrait, Long> generatedAt = new LinkedHashMap<>(16, 0.75f, true) {
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<PromptPartId, Long> eldest) {
-            return size() > MAX_GENERATED_PARTS;
+        protected boolean removeEldestEntry(Map.Entry<RequestTrait, Long> eldest) {
+            return size() > MAX_GENERATED_TRAITS;
         }
     };
 
-    /** Time until which a part is in quarantine, in milliseconds, by part. */
-    private Map<PromptPartId, Long> quarantined = Map.of();
+    /** Time until which a trait is in quarantine, in milliseconds, by trait. */
+    private Map<RequestTrait, Long> quarantined = Map.of();
 
     /** Time of the next assessment, in milliseconds. */
     private long assessAt = Long.MAX_VALUE;
 
     private final List<PendingReport> pendingReports = new ArrayList<>();
 
+    /** Is told what comes into quarantine and what leaves it. */
+    public interface Observer {
+
+        /**
+         * Invoked when requests with a trait are kept from targets from now on.
+         *
+         * @param trait the trait
+         * @param crashes the crashes that it explains, the oldest first
+         */
+        void onQuarantined(RequestTrait trait, List<TargetCrash> crashes);
+
+        /**
+         * Invoked when requests with a trait may be sent again.
+         *
+         * @param trait the trait
+         */
+        void onReleased(RequestTrait trait);
+
+        /** Observes nothing. */
+        enum Disabled implements Observer {
+            INSTANCE;
+
+            @Override
+            public void onQuarantined(RequestTrait trait, List<TargetCrash> crashes) {
+                // Nothing to observe.
+            }
+
+            @Override
+            public void onReleased(RequestTrait trait) {
+                // Nothing to observe.
+            }
+        }
+    }
+
     /**
-     * A part in quarantine.
+     * A trait in quarantine.
      *
-     * @param part the part
+     * @param trait the trait
      * @param until time at which too few of the crashes that it caused are recent enough, in milliseconds
      */
-    public record Entry(PromptPartId part, long until) {}
+    public record Entry(RequestTrait trait, long until) {}
 
     /**
      * Observations that gateways exchange. Those of several gateways may be applied in any order and more than once.
      *
-     * @param crashes crashes of engines
-     * @param generatedAt time at which a response was last generated on a suspected part, in milliseconds, by part
+     * @param crashes crashes of targets
+     * @param generatedAt time at which a response was last generated on a suspected trait, in milliseconds, by trait
      */
-    public record Observations(List<EngineCrash> crashes, Map<PromptPartId, Long> generatedAt) {
+    public record Observations(List<TargetCrash> crashes, Map<RequestTrait, Long> generatedAt) {
 
         /** Nothing observed. */
         public static final Observations NONE = new Observations(List.of(), Map.of());
@@ -111,7 +140,7 @@
 
         private final Set<TargetIncarnation> changedCrashes = new LinkedHashSet<>();
 
-        private final Set<PromptPartId> changedParts = new LinkedHashSet<>();
+        private final Set<RequestTrait> changedTraits = new LinkedHashSet<>();
 
         private PendingReport() {}
 
@@ -121,16 +150,16 @@
          * @return the observations
          */
         public Observations takeChanges() {
-            if (changedCrashes.isEmpty() && changedParts.isEmpty()) {
+            if (changedCrashes.isEmpty() && changedTraits.isEmpty()) {
                 return Observations.NONE;
             }
-            List<EngineCrash> changed = changedCrashes.stream()
+            List<TargetCrash> changed = changedCrashes.stream()
                     .filter(crashes::containsKey)
                     .map(crashes::get)
                     .toList();
-            Observations taken = new Observations(changed, generatedOn(changedParts));
+            Observations taken = new Observations(changed, generatedOn(changedTraits));
             changedCrashes.clear();
-            changedParts.clear();
+            changedTraits.clear();
             return taken;
         }
 
@@ -144,8 +173,8 @@
         public Observations takeAll(long now) {
             assessIfDue(now);
             changedCrashes.clear();
-            changedParts.clear();
-            List<EngineCrash> reported = crashes.values().stream()
+            changedTraits.clear();
+            List<TargetCrash> reported = crashes.values().stream()
                     .filter(crash -> crash.state() == State.ATTRIBUTED || crash.at() > now - CONCLUSION_MS)
                     .toList();
             return new Observations(reported, generatedOn(suspects(reported)));
@@ -155,10 +184,12 @@
     /**
      * Creates an empty quarantine.
      *
-     * @param durationMillis time for which a crash keeps the part that caused it in quarantine, in milliseconds
+     * @param durationMillis time for which a crash keeps the trait that caused it in quarantine, in milliseconds
+     * @param observer is told of changes
      */
-    public PromptQuarantine(long durationMillis) {
+    public RequestQuarantine(long durationMillis, Observer observer) {
         this.durationMillis = durationMillis;
+        this.observer = observer;
     }
 
     /**
@@ -173,16 +204,16 @@
     }
 
     /**
-     * Records that the connection of a request ended before the engine had answered it, or soon after it had begun to.
+     * Records that the connection of a request ended before the target had answered it, or soon after it had begun to.
      *
-     * @param engine the engine that closed the connection
-     * @param promptParts shared parts of the prompt of the request
+     * @param target the target that closed the connection
+     * @param traits traits of the request
      * @param now current time, in milliseconds
      */
-    public void recordCrash(TargetIncarnation engine, List<PromptPartId> promptParts, long now) {
-        if (!promptParts.isEmpty()) {
-            addCrash(new EngineCrash(engine, now, promptParts, State.UNEXPLAINED), now);
-            pendingReports.forEach(report -> report.changedCrashes.add(engine));
+    public void recordCrash(TargetIncarnation target, List<RequestTrait> traits, long now) {
+        if (!traits.isEmpty()) {
+            addCrash(new TargetCrash(target, now, traits, State.UNEXPLAINED), now);
+            pendingReports.forEach(report -> report.changedCrashes.add(target));
         }
     }
 
@@ -193,51 +224,51 @@
      * @param crash the crash
      * @param now current time, in milliseconds
      */
-    private void addCrash(EngineCrash crash, long now) {
-        EngineCrash known = crashes.get(crash.engine());
-        EngineCrash merged = known == null ? crash : known.merge(crash);
+    private void addCrash(TargetCrash crash, long now) {
+        TargetCrash known = crashes.get(crash.incarnation());
+        TargetCrash merged = known == null ? crash : known.merge(crash);
         if (merged.equals(known)) {
             return;
         }
-        crashes.put(crash.engine(), merged);
+        crashes.put(crash.incarnation(), merged);
         if (crashes.size() > MAX_CRASHES) {
             crashes.remove(crashes.keySet().iterator().next());
         }
-        pendingReports.forEach(report -> report.changedParts.addAll(crash.suspects()));
+        pendingReports.forEach(report -> report.changedTraits.addAll(crash.suspects()));
         assessBy(Math.max(now, merged.at() + SETTLING_MS));
     }
 
     /**
-     * Records that an engine has sent something. One that is presumed to have crashed has not if it answers before it can
+     * Records that a target has sent something. One that is presumed to have crashed has not if it answers before it can
      * have restarted.
      *
-     * @param engine the engine
+     * @param target the target
      * @param now current time, in milliseconds
      */
-    public void recordActivity(TargetIncarnation engine, long now) {
-        EngineCrash crash = crashes.isEmpty() ? null : crashes.get(engine);
+    public void recordActivity(TargetIncarnation target, long now) {
+        TargetCrash crash = crashes.isEmpty() ? null : crashes.get(target);
         if (crash == null || crash.state() == State.REFUTED || !crash.isRefutedBy(now)) {
             return;
         }
-        crashes.put(engine, crash.refute());
-        pendingReports.forEach(report -> report.changedCrashes.add(engine));
+        crashes.put(target, crash.refute());
+        pendingReports.forEach(report -> report.changedCrashes.add(target));
         assessBy(now);
     }
 
     /**
-     * Records that an engine has generated a response, or a good part of it, on some prompt parts.
+     * Records that a target has generated a response, or a good part of it, on some traits.
      *
-     * @param promptParts shared parts of the prompt of the request
+     * @param traits traits of the request
      * @param now current time, in milliseconds
      */
-    public void recordGeneration(List<PromptPartId> promptParts, long now) {
-        promptParts.forEach(part -> recordGeneration(part, now));
+    public void recordGeneration(List<RequestTrait> traits, long now) {
+        traits.forEach(trait -> recordGeneration(trait, now));
     }
 
-    private void recordGeneration(PromptPartId part, long at) {
-        generatedAt.merge(part, at, Math::max);
-        if (quarantined.containsKey(part)) {
-            pendingReports.forEach(report -> report.changedParts.add(part));
+    private void recordGeneration(RequestTrait trait, long at) {
+        generatedAt.merge(trait, at, Math::max);
+        if (quarantined.containsKey(trait)) {
+            pendingReports.forEach(report -> report.changedTraits.add(trait));
             assessBy(at);
         }
     }
@@ -256,25 +287,25 @@
     }
 
     /**
-     * Returns the first part that keeps a request from all engines.
+     * Returns the first trait that keeps a request from all targets.
      *
-     * @param promptParts shared parts of the prompt of the request
+     * @param traits traits of the request
      * @param now current time, in milliseconds
-     * @return the part, empty if none is in quarantine
+     * @return the trait, empty if none is in quarantine
      */
-    public Optional<Entry> find(List<PromptPartId> promptParts, long now) {
+    public Optional<Entry> find(List<RequestTrait> traits, long now) {
         assessIfDue(now);
         if (quarantined.isEmpty()) {
             return Optional.empty();
         }
-        return promptParts.stream()
-                .filter(part -> quarantined.getOrDefault(part, 0L) > now)
+        return traits.stream()
+                .filter(trait -> quarantined.getOrDefault(trait, 0L) > now)
                 .findFirst()
-                .map(part -> new Entry(part, quarantined.get(part)));
+                .map(trait -> new Entry(trait, quarantined.get(trait)));
     }
 
     /**
-     * Returns the number of parts in quarantine.
+     * Returns the number of traits in quarantine.
      *
      * @return the number as of the last assessment
      */
@@ -293,25 +324,25 @@
     }
 
     /**
-     * Determines anew which parts are in quarantine.
+     * Determines anew which traits are in quarantine.
      *
      * @param now current time, in milliseconds
      */
     private void assess(long now) {
         crashes.values().removeIf(crash -> crash.at() <= now - expiryMillis(crash));
-        List<EngineCrash> settled = crashes.values().stream()
+        List<TargetCrash> settled = crashes.values().stream()
                 .filter(crash -> crash.state() != State.REFUTED && crash.at() <= now - SETTLING_MS)
-                .sorted(Comparator.comparingLong(EngineCrash::at))
+                .sorted(Comparator.comparingLong(TargetCrash::at))
                 .toList();
-        Map<PromptPartId, List<EngineCrash>> causes =
+        Map<RequestTrait, List<TargetCrash>> causes =
                 CrashAttribution.attribute(settled, generatedOn(suspects(settled)));
-        Map<PromptPartId, Long> next = new HashMap<>();
-        causes.forEach((part, explained) -> {
-            int required = CrashAttribution.requiredCrashes(generatedAt.containsKey(part));
-            next.put(part, explained.get(explained.size() - required).at() + durationMillis);
-            retainLatest(part, explained, now);
+        Map<RequestTrait, Long> next = new HashMap<>();
+        causes.forEach((trait, explained) -> {
+            int required = CrashAttribution.requiredCrashes(generatedAt.containsKey(trait));
+            next.put(trait, explained.get(explained.size() - required).at() + durationMillis);
+            retainLatest(trait, explained, now);
         });
-        logChanges(causes, next);
+        reportChanges(causes, next);
         quarantined = Map.copyOf(next);
         assessAt = crashes.isEmpty() ? Long.MAX_VALUE : now + EXPIRY_CHECK_MS;
         crashes.values().stream()
@@ -320,63 +351,52 @@
                 .forEach(this::assessBy);
     }
 
-    private long expiryMillis(EngineCrash crash) {
+    private long expiryMillis(TargetCrash crash) {
         return crash.state() == State.ATTRIBUTED ? durationMillis : UNEXPLAINED_EXPIRY_MS;
     }
 
     /**
      * Forgets the other suspects of crashes whose cause is known for some time, and all but the latest of these crashes.
      *
-     * @param cause the part that explains the crashes
+     * @param cause the trait that explains the crashes
      * @param explained the crashes, the oldest first
      * @param now current time, in milliseconds
      */
-    private void retainLatest(PromptPartId cause, List<EngineCrash> explained, long now) {
-        int superfluous = Math.max(0, explained.size() - CRASHES_PER_PART);
-        explained.subList(0, superfluous).forEach(crash -> crashes.remove(crash.engine()));
+    private void retainLatest(RequestTrait cause, List<TargetCrash> explained, long now) {
+        int superfluous = Math.max(0, explained.size() - CRASHES_PER_TRAIT);
+        explained.subList(0, superfluous).forEach(crash -> crashes.remove(crash.incarnation()));
         explained.subList(superfluous, explained.size()).stream()
                 .filter(crash -> crash.at() <= now - CONCLUSION_MS)
-                .forEach(crash -> crashes.put(crash.engine(), crash.attributeTo(cause)));
+                .forEach(crash -> crashes.put(crash.incarnation(), crash.attributeTo(cause)));
     }
 
-    private void logChanges(Map<PromptPartId, List<EngineCrash>> causes, Map<PromptPartId, Long> next) {
-        next.keySet().stream().filter(part -> !quarantined.containsKey(part)).forEach(part -> {
-            List<EngineCrash> explained = causes.get(part);
-            log.line(Category.STATE_CHANGE, "quarantined")
-                    .with("promptPart", part)
-                    .with("crashes", explained.size())
-                    .with(
-                            "engines",
-                            explained.stream()
-                                    .limit(CRASHES_PER_PART)
-                                    .map(crash -> crash.engine().target())
-                                    .toList())
-                    .write();
+    private void reportChanges(Map<RequestTrait, List<TargetCrash>> causes, Map<RequestTrait, Long> next) {
+        causes.forEach((trait, explained) -> {
+            if (!quarantined.containsKey(trait)) {
+                observer.onQuarantined(trait, explained);
+            }
         });
-        quarantined.keySet().stream().filter(part -> !next.containsKey(part)).forEach(part -> log.line(
-                        Category.STATE_CHANGE, "released")
-                .with("promptPart", part)
-                .write());
+        quarantined.keySet().stream().filter(trait -> !next.containsKey(trait)).forEach(observer::onReleased);
     }
 
-    private static Set<PromptPartId> suspects(Collection<EngineCrash> suspected) {
-        Set<PromptPartId> suspects = new HashSet<>();
+    private static Set<RequestTrait> suspects(Collection<TargetCrash> suspected) {
+        Set<RequestTrait> suspects = new HashSet<>();
         suspected.forEach(crash -> suspects.addAll(crash.suspects()));
         return suspects;
     }
 
     /**
-     * Returns when a response was last generated on some parts.
+     * Returns when a response was last generated on some traits.
      *
-     * @param parts the parts
-     * @return the time by part, in milliseconds; parts on which none is known are missing
+     * @param traits the traits
+     * @return the time by trait, in milliseconds; traits on which none is known are missing
      */
-    private Map<PromptPartId, Long> generatedOn(Collection<PromptPartId> parts) {
-        Map<PromptPartId, Long> generated = new HashMap<>();
-        for (PromptPartId part : parts) {
-            Long at = generatedAt.get(part);
+    private Map<RequestTrait, Long> generatedOn(Collection<RequestTrait> traits) {
+        Map<RequestTrait, Long> generated = new HashMap<>();
+        for (RequestTrait trait : traits) {
+            Long at = generatedAt.get(trait);
             if (at != null) {
-                generated.put(part, at);
+                generated.put(trait, at);
             }
         }
         return generated;
--- a/routing/src/main/java/org/bamboohatch/routing/quarantine/EngineCrash.java
+++ b/routing/src/main/java/org/bamboohatch/routing/quarantine/TargetCrash.java
@@ -4,19 +4,19 @@
 import java.util.List;
 import java.util.Set;
 
-import org.bamboohatch.kernel.id.PromptPartId;
+import org.bamboohatch.kernel.id.RequestTrait;
 import org.bamboohatch.kernel.id.TargetIncarnation;
 
 /**
- * The presumed crash of an engine: its connections ended while it answered requests.
+ * The presumed crash of a target: its connections ended while it answered requests.
  *
- * @param engine the incarnation that ended
+ * @param incarnation the incarnation that ended
  * @param at time at which it ended, in milliseconds
- * @param suspects prompt parts of the requests that the engine had not answered, or had just begun to answer; in the order
- *     of the prompts
+ * @param suspects traits of the requests that the target had not answered, or had just begun to answer; those of a request
+ *     come in its order
  * @param state certainty about the cause
  */
-public record EngineCrash(TargetIncarnation engine, long at, List<PromptPartId> suspects, State state) {
+public record TargetCrash(TargetIncarnation incarnation, long at, List<RequestTrait> suspects, State state) {
 
     /** Certainty about the cause of a crash. */
     public enum State {
@@ -24,21 +24,21 @@
         UNEXPLAINED,
         /** The only suspect is the cause. */
         ATTRIBUTED,
-        /** There was no crash: the engine has answered since, so only connections ended. */
+        /** There was no crash: the target has answered since, so only connections ended. */
         REFUTED
     }
 
-    /** Time after a crash in which bytes may still arrive that the engine had sent before, in milliseconds. */
+    /** Time after a crash in which bytes may still arrive that the target had sent before, in milliseconds. */
     private static final long IN_FLIGHT_MS = 100;
 
-    /** Time after a crash in which no engine can have restarted, in milliseconds. */
+    /** Time after a crash in which no target can have restarted, in milliseconds. */
     private static final long SHORTEST_RESTART_MS = 1_500;
 
     /** Number of suspects that are considered; limits the memory that callers can occupy. */
     private static final int MAX_SUSPECTS = 512;
 
     /** Copies the list, without the suspects beyond the limit. */
-    public EngineCrash {
+    public TargetCrash {
         suspects = List.copyOf(suspects.subList(0, Math.min(MAX_SUSPECTS, suspects.size())));
     }
 
@@ -49,7 +49,7 @@
      * @return this crash, with the suspects of both if neither knows the cause; refuted if either is. An incarnation ends
      *     once, so if one of the two was much later and the earlier one is refuted, the later one alone counts
      */
-    public EngineCrash merge(EngineCrash other) {
+    public TargetCrash merge(TargetCrash other) {
         boolean otherIsLater = other.at > at + SHORTEST_RESTART_MS;
         boolean otherIsEarlier = other.at < at - SHORTEST_RESTART_MS;
         if (state == State.REFUTED && otherIsLater) {
@@ -61,37 +61,37 @@
         if (state != State.UNEXPLAINED || other.state != State.UNEXPLAINED) {
             return this;
         }
-        Set<PromptPartId> union = new LinkedHashSet<>(suspects);
+        Set<RequestTrait> union = new LinkedHashSet<>(suspects);
         union.addAll(other.suspects);
-        return new EngineCrash(engine, otherIsLater ? other.at : at, List.copyOf(union), State.UNEXPLAINED);
+        return new TargetCrash(incarnation, otherIsLater ? other.at : at, List.copyOf(union), State.UNEXPLAINED);
     }
 
     /**
-     * Indicates whether an answer of the engine shows that it has not crashed.
+     * Indicates whether an answer of the target shows that it has not crashed.
      *
      * @param answeredAt time of the answer, in milliseconds
-     * @return whether the engine can neither have sent it before the crash nor after a restart
+     * @return whether the target can neither have sent it before the crash nor after a restart
      */
     public boolean isRefutedBy(long answeredAt) {
         return answeredAt >= at + IN_FLIGHT_MS && answeredAt <= at + SHORTEST_RESTART_MS;
     }
 
     /**
-     * Returns the crash after the engine has answered.
+     * Returns the crash after the target has answered.
      *
      * @return the refuted crash, without suspects
      */
-    public EngineCrash refute() {
-        return new EngineCrash(engine, at, List.of(), State.REFUTED);
+    public TargetCrash refute() {
+        return new TargetCrash(incarnation, at, List.of(), State.REFUTED);
     }
 
     /**
      * Returns the crash once its cause is known.
      *
-     * @param cause the part that ended the engine
+     * @param cause the trait that ended the target
      * @return the crash with a single suspect
      */
-    public EngineCrash attributeTo(PromptPartId cause) {
-        return new EngineCrash(engine, at, List.of(cause), State.ATTRIBUTED);
+    public TargetCrash attributeTo(RequestTrait cause) {
+        return new TargetCrash(incarnation, at, List.of(cause), State.ATTRIBUTED);
     }
 }
--- a/routing/src/test/java/org/bamboohatch/routing/quarantine/CrashAttributionTest.java
+++ b/routing/src/test/java/org/bamboohatch/routing/quarantine/CrashAttributionTest.java
@@ -8,7 +8,7 @@
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
-import org.bamboohatch.kernel.id.PromptPartId;
+import org.bamboohatch.kernel.id.RequestTrait;
 import org.bamboohatch.kernel.id.TargetIncarnation;
 import org.bamboohatch.kernel.id.TargetName;
 import org.junit.jupiter.api.Test;
@@ -18,17 +18,17 @@
 /** Crashes of engines are attributed to the part that all of them have in common, not to the parts beside it. */
 class CrashAttributionTest {
 
-    private static final PromptPartId BAD = new PromptPartId("bad");
+    private static final RequestTrait BAD = new RequestTrait("bad");
 
-    private static final PromptPartId COMMON = new PromptPartId("common");
+    private static final RequestTrait COMMON = new RequestTrait("common");
 
-    private static EngineCrash crash(int number, PromptPartId... suspects) {
+    private static TargetCrash crash(int number, RequestTrait... suspects) {
         TargetIncarnation engine = new TargetIncarnation(new TargetName("engine-" + number), 1);
-        return new EngineCrash(engine, 1_000 + number, List.of(suspects), EngineCrash.State.UNEXPLAINED);
+        return new TargetCrash(engine, 1_000 + number, List.of(suspects), TargetCrash.State.UNEXPLAINED);
     }
 
-    private static List<EngineCrash> crashes(int count, PromptPartId... suspects) {
-        List<EngineCrash> crashes = new ArrayList<>();
+    private static List<TargetCrash> crashes(int count, RequestTrait... suspects) {
+        List<TargetCrash> crashes = new ArrayList<>();
         for (int number = 0; number < count; number++) {
             crashes.add(crash(number, suspects));
         }
@@ -43,7 +43,7 @@
 
     @Test
     void aPartOnWhichResponsesWereGeneratedBeforeIsNotBlamedBesideOneOnWhichNoneWas() {
-        List<EngineCrash> crashes = crashes(8, BAD, COMMON);
+        List<TargetCrash> crashes = crashes(8, BAD, COMMON);
         assertThat(CrashAttribution.attribute(crashes, Map.of(COMMON, 900L))).containsOnlyKeys(BAD);
     }
 
@@ -70,8 +70,8 @@
 
     @Test
     void twoCausesAreBothFound() {
-        PromptPartId other = new PromptPartId("other");
-        List<EngineCrash> crashes = new ArrayList<>(crashes(4, BAD, COMMON));
+        RequestTrait other = new RequestTrait("other");
+        List<TargetCrash> crashes = new ArrayList<>(crashes(4, BAD, COMMON));
         for (int number = 4; number < 7; number++) {
             crashes.add(crash(number, other, COMMON));
         }
@@ -83,20 +83,20 @@
     void onlyTheBadPartIsBlamedWhateverRunsBesideIt(@ForAll long seed) {
         Random random = new Random(seed);
         int parts = 2 + random.nextInt(60);
-        Map<PromptPartId, Long> generatedAt = new HashMap<>();
+        Map<RequestTrait, Long> generatedAt = new HashMap<>();
         for (int part = 0; part < parts; part++) {
-            generatedAt.put(new PromptPartId("sound-" + part), (long) random.nextInt(1_000));
+            generatedAt.put(new RequestTrait("sound-" + part), (long) random.nextInt(1_000));
         }
-        List<EngineCrash> crashes = new ArrayList<>();
+        List<TargetCrash> crashes = new ArrayList<>();
         int count = 3 + random.nextInt(10);
         for (int number = 0; number < count; number++) {
-            List<PromptPartId> suspects = new ArrayList<>();
+            List<RequestTrait> suspects = new ArrayList<>();
             int bystanders = random.nextInt(11);
             for (int bystander = 0; bystander < bystanders; bystander++) {
-                suspects.add(new PromptPartId("sound-" + random.nextInt(parts)));
+                suspects.add(new RequestTrait("sound-" + random.nextInt(parts)));
             }
             suspects.add(random.nextInt(suspects.size() + 1), BAD);
-            crashes.add(crash(number, suspects.stream().distinct().toArray(PromptPartId[]::new)));
+            crashes.add(crash(number, suspects.stream().distinct().toArray(RequestTrait[]::new)));
         }
         assertThat(CrashAttribution.attribute(crashes, generatedAt)).containsOnlyKeys(BAD);
     }
--- a/gateway/src/test/java/org/bamboohatch/gateway/quarantine/QuarantineProof.java
+++ b/routing/src/test/java/org/bamboohatch/routing/quarantine/QuarantineProof.java
@@ -1,4 +1,4 @@
-package org.bamboohatch.gateway.quarantine;
+package org.bamboohatch.routing.quarantine;
 
 import java.util.concurrent.TimeUnit;
 
--- a/gateway/src/test/java/org/bamboohatch/gateway/quarantine/QuarantineSimulation.java
+++ b/routing/src/test/java/org/bamboohatch/routing/quarantine/QuarantineSimulation.java
@@ -1,4 +1,4 @@
-package org.bamboohatch.gateway.quarantine;
+package org.bamboohatch.routing.quarantine;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -6,7 +6,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 
-import org.bamboohatch.kernel.id.PromptPartId;
+import org.bamboohatch.kernel.id.RequestTrait;
 import org.bamboohatch.kernel.id.TargetIncarnation;
 import org.bamboohatch.kernel.id.TargetName;
 
@@ -16,7 +16,7 @@
  */
 final class QuarantineSimulation {
 
-    private static final PromptPartId BAD = new PromptPartId("bad");
+    private static final RequestTrait BAD = new RequestTrait("bad");
 
     private static final long END_MS = 40_000;
 
@@ -74,9 +74,10 @@
 
     private static final class Gateway {
 
-        private final PromptQuarantine quarantine = new PromptQuarantine(600_000);
+        private final RequestQuarantine quarantine =
+                new RequestQuarantine(600_000, RequestQuarantine.Observer.Disabled.INSTANCE);
 
-        private final PromptQuarantine.PendingReport report = quarantine.newReport();
+        private final RequestQuarantine.PendingReport report = quarantine.newReport();
 
         private final long startsAt;
 
@@ -109,13 +110,13 @@
 
         private final Gateway gateway;
 
-        private final List<PromptPartId> parts;
+        private final List<RequestTrait> parts;
 
         private final int attempt;
 
         private long firstEventAt;
 
-        Run(Gateway gateway, List<PromptPartId> parts, int attempt) {
+        Run(Gateway gateway, List<RequestTrait> parts, int attempt) {
             this.gateway = gateway;
             this.parts = parts;
             this.attempt = attempt;
@@ -150,7 +151,7 @@
         }
         for (long at = BAD_FROM_MS; at < END_MS; at += 1 + random.nextInt((int) (2 * badIntervalMillis))) {
             at(at, () -> {
-                PromptPartId subject = subject(fixedSubject);
+                RequestTrait subject = subject(fixedSubject);
                 arrive(badPartFirst ? List.of(BAD, subject) : List.of(subject, BAD));
             });
         }
@@ -208,12 +209,12 @@
         events.add(new Event(time, action));
     }
 
-    private PromptPartId subject(boolean fixed) {
+    private RequestTrait subject(boolean fixed) {
         double place = fixed ? 0 : Math.pow(random.nextDouble(), 1.5);
-        return new PromptPartId("subject-" + (int) (place * subjects));
+        return new RequestTrait("subject-" + (int) (place * subjects));
     }
 
-    private void arrive(List<PromptPartId> parts) {
+    private void arrive(List<RequestTrait> parts) {
         List<Gateway> present =
                 gateways.stream().filter(gateway -> now >= gateway.startsAt).toList();
         if (!parts.contains(BAD)) {
@@ -315,7 +316,7 @@
             if (now < sender.startsAt) {
                 continue;
             }
-            PromptQuarantine.Observations report = complete ? sender.report.takeAll(now) : sender.report.takeChanges();
+            RequestQuarantine.Observations report = complete ? sender.report.takeAll(now) : sender.report.takeChanges();
             for (Gateway receiver : gateways) {
                 boolean delivered = random.nextDouble() >= REPORT_LOSS && now >= receiver.startsAt;
                 if (receiver != sender && !report.isEmpty() && delivered) {
--- a/gateway/src/test/java/org/bamboohatch/gateway/quarantine/QuarantineSimulationTest.java
+++ b/routing/src/test/java/org/bamboohatch/routing/quarantine/QuarantineSimulationTest.java
@@ -1,4 +1,4 @@
-package org.bamboohatch.gateway.quarantine;
+package org.bamboohatch.routing.quarantine;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
--- a/gateway/src/test/java/org/bamboohatch/gateway/quarantine/PromptQuarantineTest.java
+++ b/routing/src/test/java/org/bamboohatch/routing/quarantine/RequestQuarantineTest.java
@@ -1,8 +1,8 @@
-package org.bamboohatch.gateway.quarantine;
+package org.bamboohatch.routing.quarantine;
 
 import java.util.List;
 
-import org.bamboohatch.kernel.id.PromptPartId;
+import org.bamboohatch.kernel.id.RequestTrait;
 import org.bamboohatch.kernel.id.TargetIncarnation;
 import org.bamboohatch.kernel.id.TargetName;
 import org.junit.jupiter.api.Test;
@@ -14,37 +14,39 @@
 
     private static final long DURATION_MS = 600_000;
 
-    private static final PromptPartId BAD = new PromptPartId("bad");
+    private static final RequestTrait BAD = new RequestTrait("bad");
 
-    private static final PromptPartId COMMON = new PromptPartId("common");
+    private static final RequestTrait COMMON = new RequestTrait("common");
 
-    private static final List<PromptPartId> BAD_PROMPT = List.of(COMMON, BAD);
+    private static final List<RequestTrait> BAD_PROMPT = List.of(COMMON, BAD);
 
-    private final PromptQuarantine first = new PromptQuarantine(DURATION_MS);
+    private final RequestQuarantine first =
+            new RequestQuarantine(DURATION_MS, RequestQuarantine.Observer.Disabled.INSTANCE);
 
-    private final PromptQuarantine second = new PromptQuarantine(DURATION_MS);
+    private final RequestQuarantine second =
+            new RequestQuarantine(DURATION_MS, RequestQuarantine.Observer.Disabled.INSTANCE);
 
-    private final PromptQuarantine.PendingReport firstReport = first.newReport();
+    private final RequestQuarantine.PendingReport firstReport = first.newReport();
 
-    private final PromptQuarantine.PendingReport secondReport = second.newReport();
+    private final RequestQuarantine.PendingReport secondReport = second.newReport();
 
     private static TargetIncarnation engine(int number) {
         return new TargetIncarnation(new TargetName("engine-" + number), 7);
     }
 
     private void exchange(long now) {
-        PromptQuarantine.Observations ofFirst = firstReport.takeChanges();
-        PromptQuarantine.Observations ofSecond = secondReport.takeChanges();
+        RequestQuarantine.Observations ofFirst = firstReport.takeChanges();
+        RequestQuarantine.Observations ofSecond = secondReport.takeChanges();
         first.apply(ofSecond, now);
         second.apply(ofFirst, now);
     }
 
-    private static boolean refuses(PromptQuarantine quarantine, PromptPartId part, long now) {
+    private static boolean refuses(RequestQuarantine quarantine, RequestTrait part, long now) {
         return quarantine.find(List.of(part), now).isPresent();
     }
 
     /** Reports at intervals, as gateways do, and returns the last report of the first one. */
-    private PromptQuarantine.Observations reportUntil(long now) {
+    private RequestQuarantine.Observations reportUntil(long now) {
         for (long time = 2_000; time < now; time += 10_000) {
             firstReport.takeAll(time);
         }
@@ -63,7 +65,7 @@
         crash(3, 1_000);
         exchange(1_010);
         exchange(1_020);
-        for (PromptQuarantine quarantine : List.of(first, second)) {
+        for (RequestQuarantine quarantine : List.of(first, second)) {
             assertThat(refuses(quarantine, BAD, 1_100))
                     .as("before others have reported")
                     .isFalse();
@@ -140,7 +142,7 @@
         crash(5, 1_000);
         exchange(1_010);
         assertThat(refuses(first, BAD, 2_000)).isTrue();
-        PromptQuarantine started = new PromptQuarantine(DURATION_MS);
+        RequestQuarantine started = new RequestQuarantine(DURATION_MS, RequestQuarantine.Observer.Disabled.INSTANCE);
         started.apply(reportUntil(100_000), 100_000);
         assertThat(refuses(started, BAD, 100_010)).isTrue();
     }
@@ -162,8 +164,8 @@
         crash(2, 1_000);
         exchange(1_010);
         assertThat(refuses(first, BAD, 30_000)).isFalse();
-        first.recordCrash(engine(9), BAD_PROMPT, 5_000 + PromptQuarantine.UNEXPLAINED_EXPIRY_MS);
-        assertThat(refuses(first, BAD, 6_000 + PromptQuarantine.UNEXPLAINED_EXPIRY_MS))
+        first.recordCrash(engine(9), BAD_PROMPT, 5_000 + RequestQuarantine.UNEXPLAINED_EXPIRY_MS);
+        assertThat(refuses(first, BAD, 6_000 + RequestQuarantine.UNEXPLAINED_EXPIRY_MS))
                 .isFalse();
     }
 
