Keep requests from targets once the same request has ended several

Callers saw 502s and cut streams, and engines ended one after the other: a request that ends each target that runs it was sent on, and placed as a new one each time its caller repeated it.

Cause: failures were attributed to the target, and since the quarantine of prompts to prompt parts. Nothing stood for the request itself.

Ruled out: the prompt part (requests with it are answered), load (all 29 ends in the logs have the same request of one account, however little the target had to do).

Change: the content of a request (account, method, host, path, query, body) is one more RequestTrait, so crashes, responses, reports between gateways, verdict and refusal are those of prompt parts. A content is found after three crashes without a response since. Because a popular request is under way at many targets, crashes within 100 ms count once against a content that was answered before; contents that cannot be told apart are all kept from targets if none was answered ever; and one gateway sends one request in quarantine again after 10 s without a crash, at once if the crashes may be a single loss of several targets. A part is cleared if one content explains its crashes.

Tried and given up: the strongest of equal contents only. Six crashes as for parts: a service with three targets then loses all of them twice.

--- a/gateway/src/main/java/org/bamboohatch/gateway/GatewayProgram.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/GatewayProgram.java
@@ -99,7 +99,9 @@
                 "gateway.configuration.version", "version of the configuration in force", () -> store.view()
                         .configurationVersion());
         metrics.registerGauge(
-                "gateway.quarantined", "prompt parts that are kept from engines", forwarder::quarantinedParts);
+                "gateway.quarantined",
+                "prompt parts and requests that are kept from targets",
+                forwarder::quarantinedTraits);
         metrics.registerGauge("gateway.targets", "targets that take work", () -> store.view()
                 .targets()
                 .size());
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardedRequest.java
@@ -1,7 +1,6 @@
 package org.bamboohatch.gateway.forward;
 
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
@@ -16,7 +15,6 @@
 import org.bamboohatch.gateway.http.InboundRequest;
 import org.bamboohatch.gateway.http.Responder;
 import org.bamboohatch.gateway.target.HttpTargetConnection;
-import org.bamboohatch.kernel.id.RequestTrait;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.log.DecisionLog.Category;
 import org.bamboohatch.kernel.outcome.ErrorCode;
@@ -77,11 +75,10 @@
         this.admitted = admitted;
         this.demand = demand;
         Dialect dialect = forwarder.dialect();
-        List<RequestTrait> promptParts = PromptParts.shared(request.headers().get(dialect.promptParts()));
-        this.monitor = new RequestMonitor(forwarder.quarantine(), forwarder.targets(), promptParts);
+        RequestTraits traits = RequestTraits.of(request, admitted.account(), dialect.promptParts());
+        this.monitor = new RequestMonitor(forwarder.quarantine(), forwarder.targets(), traits.all());
         String requestId = request.headers().get(dialect.requestId());
-        String fingerprint = RequestFingerprint.of(request, admitted.account());
-        this.log = new RequestLog(forwarder.decisionLog(), requestId, admitted, demand, promptParts, fingerprint);
+        this.log = new RequestLog(forwarder.decisionLog(), requestId, admitted, demand, traits);
     }
 
     /** Starts the deadline timer and the first attempt. */
@@ -123,7 +120,7 @@
     /** Places the request at the currently best targets and begins an attempt there. */
     private void sendToNextTarget() {
         long now = GatewayClock.now();
-        Optional<RequestQuarantine.Entry> quarantined = monitor.findQuarantined(now);
+        Optional<RequestQuarantine.Entry> quarantined = monitor.admit(now);
         if (quarantined.isPresent()) {
             giveUpQuarantined(now, quarantined.get());
             return;
@@ -201,16 +198,15 @@
 
     /**
      * Sends the request, unless it has become pointless since it was placed. After a stall of the process, the caller may
-     * have disconnected, the deadline may have passed, the target may have asked for no more requests, or the prompt may
-     * have been found to end engines.
+     * have disconnected, the deadline may have passed, the target may have asked for no more requests, or the request
+     * may have been found to end targets.
      *
      * @param attempt the attempt; may have been cancelled meanwhile
      * @param connection the open connection to the target
      */
     private void send(ForwardingAttempt attempt, HttpTargetConnection connection) {
         long now = GatewayClock.now();
-        boolean accepted = forwarder.targets().acceptsRequests(attempt.target(), now)
-                && monitor.findQuarantined(now).isEmpty();
+        boolean accepted = forwarder.targets().acceptsRequests(attempt.target(), now) && monitor.isAdmitted(now);
         if (attempt.isEnded() || !responder.isConnected() || now >= admitted.deadline() || !accepted) {
             forwarder.pool().returnUnused(connection, now);
             withdraw(attempt, now);
@@ -413,8 +409,12 @@
     }
 
     private void giveUpQuarantined(long now, RequestQuarantine.Entry entry) {
-        String reason = "part " + entry.trait() + " of the prompt has ended engines";
-        Refusal refusal = Refusal.notRun(ErrorCode.PROMPT_QUARANTINED, "No target gets the request: " + reason + ".")
+        boolean content = entry.trait().isContent();
+        String reason = content
+                ? "the same request has ended targets"
+                : "part " + entry.trait() + " of the prompt has ended engines";
+        ErrorCode code = content ? ErrorCode.REQUEST_QUARANTINED : ErrorCode.PROMPT_QUARANTINED;
+        Refusal refusal = Refusal.notRun(code, "No target gets the request: " + reason + ".")
                 .withRetryAfter(Duration.ofMillis(entry.until() - now));
         giveUp(now, reason, refusal);
     }
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
@@ -117,11 +117,11 @@
     }
 
     /**
-     * Returns the number of prompt parts that are kept from engines.
+     * Returns the number of prompt parts and requests that are kept from targets.
      *
      * @return the number as of the last assessment
      */
-    public int quarantinedParts() {
+    public int quarantinedTraits() {
         return quarantine.size();
     }
 
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/RequestLog.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/RequestLog.java
@@ -1,9 +1,6 @@
 package org.bamboohatch.gateway.forward;
 
-import java.util.List;
-
 import org.bamboohatch.gateway.forward.AdmissionResult.Admitted;
-import org.bamboohatch.kernel.id.RequestTrait;
 import org.bamboohatch.kernel.log.DecisionLog;
 import org.bamboohatch.kernel.log.DecisionLog.Category;
 import org.bamboohatch.routing.fleet.Demand;
@@ -22,9 +19,7 @@
 
     private final Demand demand;
 
-    private final List<RequestTrait> promptParts;
-
-    private final String fingerprint;
+    private final RequestTraits traits;
 
     /**
      * Creates a log of a request.
@@ -33,22 +28,14 @@
      * @param requestId id of the request
      * @param admitted route, service and account of the request
      * @param demand what the request needs from a target
-     * @param promptParts parts of the prompt that other requests may have in common with this one
-     * @param fingerprint identifies requests of the same content
+     * @param traits what the request may have in common with others
      */
-    RequestLog(
-            DecisionLog log,
-            String requestId,
-            Admitted admitted,
-            Demand demand,
-            List<RequestTrait> promptParts,
-            String fingerprint) {
+    RequestLog(DecisionLog log, String requestId, Admitted admitted, Demand demand, RequestTraits traits) {
         this.log = log;
         this.requestId = requestId;
         this.admitted = admitted;
         this.demand = demand;
-        this.promptParts = promptParts;
-        this.fingerprint = fingerprint;
+        this.traits = traits;
     }
 
     /**
@@ -109,8 +96,8 @@
                 .with("attemptEvents", events - attempt.eventsBefore())
                 .with(
                         "promptParts",
-                        promptParts.stream().limit(MAX_LOGGED_PARTS).toList())
-                .with("fingerprint", fingerprint)
+                        traits.promptParts().stream().limit(MAX_LOGGED_PARTS).toList())
+                .with("fingerprint", traits.content())
                 .write();
     }
 
@@ -130,6 +117,6 @@
      * @return the line, to be completed and written by the caller
      */
     DecisionLog.Line summary(String event, Category category, String detail) {
-        return line(category, event).with("detail", detail).with("fingerprint", fingerprint);
+        return line(category, event).with("detail", detail).with("fingerprint", traits.content());
     }
 }
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/RequestMonitor.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/RequestMonitor.java
@@ -7,36 +7,52 @@
 import org.bamboohatch.kernel.id.RequestTrait;
 import org.bamboohatch.routing.quarantine.RequestQuarantine;
 
-/** Reports what the prompt of one request does to engines, and tells whether it may still be sent to any. */
+/** Reports what one request does to targets, and tells whether it may still be sent to any. */
 final class RequestMonitor {
 
     private final RequestQuarantine quarantine;
 
     private final TargetCatalog targets;
 
-    private final List<RequestTrait> promptParts;
+    private final List<RequestTrait> traits;
+
+    /** Whether the current attempt may be sent in spite of the quarantine. */
+    private boolean trial;
 
     /**
-     * Creates a monitor of one prompt.
+     * Creates a monitor of one request.
      *
-     * @param quarantine the prompt parts that end engines
+     * @param quarantine the traits of requests that end targets
      * @param targets the known targets
-     * @param promptParts parts of the prompt that other requests may have in common with this one
+     * @param traits what the request may have in common with others
      */
-    RequestMonitor(RequestQuarantine quarantine, TargetCatalog targets, List<RequestTrait> promptParts) {
+    RequestMonitor(RequestQuarantine quarantine, TargetCatalog targets, List<RequestTrait> traits) {
         this.quarantine = quarantine;
         this.targets = targets;
-        this.promptParts = promptParts;
+        this.traits = traits;
+    }
+
+    /**
+     * Decides whether an attempt may begin.
+     *
+     * @param now current time, in milliseconds
+     * @return what keeps the request from all targets, empty if the attempt may begin
+     */
+    Optional<RequestQuarantine.Entry> admit(long now) {
+        Optional<RequestQuarantine.Entry> quarantined = quarantine.find(traits, now);
+        trial = quarantined.isPresent()
+                && quarantine.beginTrial(quarantined.get().trait(), now);
+        return trial ? Optional.empty() : quarantined;
     }
 
     /**
-     * Returns a part that keeps the request from all targets.
+     * Indicates whether the attempt that has begun may still be sent.
      *
      * @param now current time, in milliseconds
-     * @return the part, empty if the request may be sent
+     * @return whether nothing was found meanwhile that keeps the request from all targets
      */
-    Optional<RequestQuarantine.Entry> findQuarantined(long now) {
-        return quarantine.find(promptParts, now);
+    boolean isAdmitted(long now) {
+        return trial || quarantine.find(traits, now).isEmpty();
     }
 
     void recordActivity(TargetAddress target, long now) {
@@ -44,7 +60,7 @@
     }
 
     void recordGeneration(long now) {
-        quarantine.recordGeneration(promptParts, now);
+        quarantine.recordGeneration(traits, now);
     }
 
     /**
@@ -55,7 +71,7 @@
      */
     void recordCrash(TargetAddress target, long now) {
         if (!targets.isLeaving(target)) {
-            quarantine.recordCrash(target.toIncarnation(), promptParts, now);
+            quarantine.recordCrash(target.toIncarnation(), traits, now);
         }
     }
 }
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
@@ -222,6 +222,7 @@
             }
         }
         limits.setGateways(gateways.size());
+        quarantine.setGateways(gateways, settings.exchange());
         peers.keySet().retainAll(present);
         present.forEach(address -> peers.computeIfAbsent(address, added -> {
             newcomerReportsDue = NEWCOMER_REPORTS;
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/QuarantineLog.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/QuarantineLog.java
@@ -19,7 +19,7 @@
     @Override
     public void onQuarantined(RequestTrait trait, List<TargetCrash> crashes) {
         log.line(Category.STATE_CHANGE, "quarantined")
-                .with("promptPart", trait)
+                .with(field(trait), trait)
                 .with("crashes", crashes.size())
                 .with(
                         "engines",
@@ -32,6 +32,10 @@
 
     @Override
     public void onReleased(RequestTrait trait) {
-        log.line(Category.STATE_CHANGE, "released").with("promptPart", trait).write();
+        log.line(Category.STATE_CHANGE, "released").with(field(trait), trait).write();
+    }
+
+    private static String field(RequestTrait trait) {
+        return trait.isContent() ? "fingerprint" : "promptPart";
     }
 }
--- a/kernel/src/main/java/org/bamboohatch/kernel/outcome/ErrorCode.java
+++ b/kernel/src/main/java/org/bamboohatch/kernel/outcome/ErrorCode.java
@@ -26,6 +26,8 @@
     NO_TARGET(503),
     /** A part of the prompt has ended several engines. */
     PROMPT_QUARANTINED(503),
+    /** The same request has ended several targets. */
+    REQUEST_QUARANTINED(503),
     /** The process is stopping or cannot show that its configuration is fresh. */
     NOT_READY(503),
     /** The request was not completed before its deadline. */
--- a/routing/src/main/java/org/bamboohatch/routing/quarantine/RequestQuarantine.java
+++ b/routing/src/main/java/org/bamboohatch/routing/quarantine/RequestQuarantine.java
@@ -35,13 +35,13 @@
     private static final long EXPIRY_CHECK_MS = 1_000;
 
     /** Crashes that are remembered for each trait in quarantine; enough to show the case to a gateway that starts. */
-    private static final int CRASHES_PER_TRAIT = CrashAttribution.requiredCrashes(true) + 2;
+    private static final int CRASHES_PER_TRAIT = CrashAttribution.MOST_REQUIRED_CRASHES + 2;
 
     /** Crashes that are remembered; beyond that the oldest one is forgotten. */
     private static final int MAX_CRASHES = 256;
 
     /** Traits of which the last response is remembered; beyond that the one least recently generated on is forgotten. */
-    private static final int MAX_GENERATED_TRAITS = 8_192;
+    private static final int MAX_GENERATED_TRAITS = 16_384;
 
     private final long durationMillis;
 
@@ -58,8 +58,9 @@
         }
     };
 
-    /** Time until which a trait is in quarantine, in milliseconds, by trait. */
-    private Map<RequestTrait, Long> quarantined = Map.of();
+    private Map<RequestTrait, Verdict> quarantined = Map.of();
+
+    private final TrialSchedule trials = new TrialSchedule();
 
     /** Time of the next assessment, in milliseconds. */
     private long assessAt = Long.MAX_VALUE;
@@ -181,6 +182,16 @@
         }
     }
 
+    /**
+     * Why a trait is in quarantine, and for how long.
+     *
+     * @param until time at which too few of the crashes that it caused are recent enough, in milliseconds
+     * @param firstConclusiveAt time at which enough crashes had shown that it ends targets, in milliseconds
+     * @param lastCrashAt time of the last crash that it explains, in milliseconds
+     * @param certain whether the crashes cannot be a single loss of several targets
+     */
+    private record Verdict(long until, long firstConclusiveAt, long lastCrashAt, boolean certain) {}
+
     /**
      * Creates an empty quarantine.
      *
@@ -298,10 +309,40 @@
         if (quarantined.isEmpty()) {
             return Optional.empty();
         }
-        return traits.stream()
-                .filter(trait -> quarantined.getOrDefault(trait, 0L) > now)
-                .findFirst()
-                .map(trait -> new Entry(trait, quarantined.get(trait)));
+        for (RequestTrait trait : traits) {
+            Verdict verdict = quarantined.get(trait);
+            if (verdict != null && verdict.until() > now) {
+                return Optional.of(new Entry(trait, verdict.until()));
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Indicates whether a request in quarantine may be sent once all the same. Its response shows that the request is sound
+     * after all; otherwise a further crash confirms the quarantine.
+     *
+     * @param trait the trait that keeps the request from all targets
+     * @param now current time, in milliseconds
+     * @return whether the request may be sent to one target; at most once for a quarantine, and at one gateway
+     */
+    public boolean beginTrial(RequestTrait trait, long now) {
+        Verdict verdict = quarantined.get(trait);
+        if (verdict == null) {
+            return false;
+        }
+        boolean due = !verdict.certain() || trials.isDue(verdict.firstConclusiveAt(), verdict.lastCrashAt(), now);
+        return due && trials.begin(trait);
+    }
+
+    /**
+     * Sets the gateways among which trials are shared out.
+     *
+     * @param gateways names of all gateways, the same at each of them
+     * @param self name of this gateway
+     */
+    public void setGateways(Collection<String> gateways, String self) {
+        trials.setGateways(gateways, self);
     }
 
     /**
@@ -336,14 +377,22 @@
                 .toList();
         Map<RequestTrait, List<TargetCrash>> causes =
                 CrashAttribution.attribute(settled, generatedOn(suspects(settled)));
-        Map<RequestTrait, Long> next = new HashMap<>();
+        Map<RequestTrait, Verdict> next = new HashMap<>();
         causes.forEach((trait, explained) -> {
-            int required = CrashAttribution.requiredCrashes(generatedAt.containsKey(trait));
-            next.put(trait, explained.get(explained.size() - required).at() + durationMillis);
-            retainLatest(trait, explained, now);
+            int required = CrashAttribution.requiredCrashes(trait, generatedAt.containsKey(trait));
+            int count = explained.size();
+            next.put(
+                    trait,
+                    new Verdict(
+                            explained.get(count - required).at() + durationMillis,
+                            explained.get(required - 1).at(),
+                            explained.get(count - 1).at(),
+                            CrashAttribution.independentCrashes(explained) >= required));
         });
-        reportChanges(causes, next);
+        retainLatest(causes, now);
+        reportChanges(causes, next.keySet());
         quarantined = Map.copyOf(next);
+        trials.retain(quarantined.keySet());
         assessAt = crashes.isEmpty() ? Long.MAX_VALUE : now + EXPIRY_CHECK_MS;
         crashes.values().stream()
                 .mapToLong(crash -> crash.at() + SETTLING_MS)
@@ -356,27 +405,38 @@
     }
 
     /**
-     * Forgets the other suspects of crashes whose cause is known for some time, and all but the latest of these crashes.
+     * Forgets the other suspects of crashes whose causes are known for some time, and all but the latest crashes of each
+     * cause.
      *
-     * @param cause the trait that explains the crashes
-     * @param explained the crashes, the oldest first
+     * @param causes the traits that end targets, each with the crashes that it explains, the oldest first
      * @param now current time, in milliseconds
      */
-    private void retainLatest(RequestTrait cause, List<TargetCrash> explained, long now) {
-        int superfluous = Math.max(0, explained.size() - CRASHES_PER_TRAIT);
-        explained.subList(0, superfluous).forEach(crash -> crashes.remove(crash.incarnation()));
-        explained.subList(superfluous, explained.size()).stream()
-                .filter(crash -> crash.at() <= now - CONCLUSION_MS)
-                .forEach(crash -> crashes.put(crash.incarnation(), crash.attributeTo(cause)));
+    private void retainLatest(Map<RequestTrait, List<TargetCrash>> causes, long now) {
+        Map<TargetCrash, List<RequestTrait>> retained = new LinkedHashMap<>();
+        causes.forEach((trait, explained) -> {
+            int superfluous = Math.max(0, explained.size() - CRASHES_PER_TRAIT);
+            explained.subList(superfluous, explained.size()).forEach(crash -> retained.computeIfAbsent(
+                            crash, added -> new ArrayList<>())
+                    .add(trait));
+        });
+        causes.values().stream()
+                .flatMap(List::stream)
+                .filter(crash -> !retained.containsKey(crash))
+                .forEach(crash -> crashes.remove(crash.incarnation()));
+        retained.forEach((crash, traits) -> {
+            if (crash.at() <= now - CONCLUSION_MS) {
+                crashes.put(crash.incarnation(), crash.attributeTo(traits));
+            }
+        });
     }
 
-    private void reportChanges(Map<RequestTrait, List<TargetCrash>> causes, Map<RequestTrait, Long> next) {
+    private void reportChanges(Map<RequestTrait, List<TargetCrash>> causes, Set<RequestTrait> next) {
         causes.forEach((trait, explained) -> {
             if (!quarantined.containsKey(trait)) {
                 observer.onQuarantined(trait, explained);
             }
         });
-        quarantined.keySet().stream().filter(trait -> !next.containsKey(trait)).forEach(observer::onReleased);
+        quarantined.keySet().stream().filter(trait -> !next.contains(trait)).forEach(observer::onReleased);
     }
 
     private static Set<RequestTrait> suspects(Collection<TargetCrash> suspected) {
--- a/routing/src/main/java/org/bamboohatch/routing/quarantine/TargetCrash.java
+++ b/routing/src/main/java/org/bamboohatch/routing/quarantine/TargetCrash.java
@@ -22,7 +22,7 @@
     public enum State {
         /** Each of the suspects may be the cause. */
         UNEXPLAINED,
-        /** The only suspect is the cause. */
+        /** The suspects are known to end targets. */
         ATTRIBUTED,
         /** There was no crash: the target has answered since, so only connections ended. */
         REFUTED
@@ -86,12 +86,12 @@
     }
 
     /**
-     * Returns the crash once its cause is known.
+     * Returns the crash once what may have caused it is known.
      *
-     * @param cause the trait that ended the target
-     * @return the crash with a single suspect
+     * @param causes the traits that end targets and were under way at this one
+     * @return the crash without other suspects
      */
-    public TargetCrash attributeTo(RequestTrait cause) {
-        return new TargetCrash(incarnation, at, List.of(cause), State.ATTRIBUTED);
+    public TargetCrash attributeTo(List<RequestTrait> causes) {
+        return new TargetCrash(incarnation, at, causes, State.ATTRIBUTED);
     }
 }
--- a/routing/src/test/java/org/bamboohatch/routing/quarantine/CrashAttributionTest.java
+++ b/routing/src/test/java/org/bamboohatch/routing/quarantine/CrashAttributionTest.java
@@ -78,6 +78,62 @@
         assertThat(CrashAttribution.attribute(crashes, Map.of(COMMON, 900L))).containsOnlyKeys(BAD, other);
     }
 
+    private static final RequestTrait CONTENT = RequestTrait.ofContent("crashing:oaxaca");
+
+    private static final RequestTrait OTHER_CONTENT = RequestTrait.ofContent("other:oaxaca");
+
+    /** Crashes at intervals in which no loss of power could explain several of them. */
+    private static List<TargetCrash> spacedCrashes(int count, RequestTrait... suspects) {
+        List<TargetCrash> crashes = new ArrayList<>();
+        for (int number = 0; number < count; number++) {
+            crashes.add(crash(200 * number, suspects));
+        }
+        return crashes;
+    }
+
+    @Test
+    void aContentIsFoundAfterThreeCrashes() {
+        assertThat(CrashAttribution.attribute(crashes(2, CONTENT), Map.of())).isEmpty();
+        assertThat(CrashAttribution.attribute(crashes(3, CONTENT), Map.of())).containsOnlyKeys(CONTENT);
+    }
+
+    /** A request that was served before may end targets of another version. */
+    @Test
+    void aContentThatWasSoundIsFoundAfterThreeCrashesToo() {
+        assertThat(CrashAttribution.attribute(spacedCrashes(3, CONTENT), Map.of(CONTENT, 900L)))
+                .containsOnlyKeys(CONTENT);
+    }
+
+    /** Many targets lose power while all of them work on a request that many callers send. */
+    @Test
+    void coincidentCrashesCountOnceAgainstAContentThatWasSound() {
+        assertThat(CrashAttribution.attribute(crashes(40, CONTENT), Map.of(CONTENT, 900L)))
+                .isEmpty();
+    }
+
+    /** All targets of a small service end under one request, and each under the same bystander. */
+    @Test
+    void contentsThatCannotBeToldApartAreBothFound() {
+        assertThat(CrashAttribution.attribute(crashes(3, CONTENT, OTHER_CONTENT), Map.of()))
+                .containsOnlyKeys(CONTENT, OTHER_CONTENT);
+    }
+
+    @Test
+    void aPartIsClearedIfOneContentExplainsItsCrashes() {
+        List<TargetCrash> crashes = new ArrayList<>(crashes(4, BAD, CONTENT));
+        crashes.add(crash(4, BAD));
+        assertThat(CrashAttribution.attribute(crashes, Map.of())).containsOnlyKeys(CONTENT);
+    }
+
+    /** Callers repeat requests, so one of several contents with the bad part may itself have ended enough targets. */
+    @Test
+    void aPartIsFoundIfSeveralContentsWithItEndTargets() {
+        List<TargetCrash> crashes = new ArrayList<>(spacedCrashes(3, BAD, CONTENT));
+        crashes.add(crash(700, BAD, OTHER_CONTENT));
+        crashes.add(crash(900, BAD, OTHER_CONTENT));
+        assertThat(CrashAttribution.attribute(crashes, Map.of())).containsOnlyKeys(BAD, CONTENT);
+    }
+
     /** Every engine that ended had a request with the bad part, and requests with random sound parts beside it. */
     @Property(tries = 200, seed = "25")
     void onlyTheBadPartIsBlamedWhateverRunsBesideIt(@ForAll long seed) {
--- a/routing/src/test/java/org/bamboohatch/routing/quarantine/RequestQuarantineTest.java
+++ b/routing/src/test/java/org/bamboohatch/routing/quarantine/RequestQuarantineTest.java
@@ -178,4 +178,62 @@
         assertThat(firstReport.takeChanges().isEmpty()).isTrue();
         assertThat(secondReport.takeChanges().isEmpty()).isTrue();
     }
+
+    private static final RequestTrait CONTENT = RequestTrait.ofContent("repeated:oaxaca");
+
+    private void crashUnder(RequestTrait trait, long... times) {
+        for (int number = 0; number < times.length; number++) {
+            first.recordCrash(engine(number), List.of(trait), times[number]);
+            exchange(times[number] + 10);
+        }
+    }
+
+    private void shareOutTrials() {
+        first.setGateways(List.of("gateway-1", "gateway-2"), "gateway-1");
+        second.setGateways(List.of("gateway-1", "gateway-2"), "gateway-2");
+    }
+
+    private int trialsBegun(long now) {
+        int begun = 0;
+        for (RequestQuarantine quarantine : List.of(first, second)) {
+            assertThat(refuses(quarantine, CONTENT, now)).isTrue();
+            begun += quarantine.beginTrial(CONTENT, now) ? 1 : 0;
+        }
+        return begun;
+    }
+
+    /** A sound request was under way at three targets that ended for other reasons; only a response can clear it. */
+    @Test
+    void oneGatewayTriesARequestOnceAfterATimeWithoutCrashes() {
+        shareOutTrials();
+        crashUnder(CONTENT, 1_000, 1_500, 2_000);
+        assertThat(trialsBegun(2_500)).isZero();
+        assertThat(trialsBegun(2_000 + TrialSchedule.DELAY_MS)).isEqualTo(1);
+        assertThat(trialsBegun(2_001 + TrialSchedule.DELAY_MS)).isZero();
+        first.recordGeneration(List.of(CONTENT), 2_100 + TrialSchedule.DELAY_MS);
+        exchange(2_200 + TrialSchedule.DELAY_MS);
+        for (RequestQuarantine quarantine : List.of(first, second)) {
+            assertThat(refuses(quarantine, CONTENT, 2_300 + TrialSchedule.DELAY_MS))
+                    .isFalse();
+        }
+    }
+
+    /** The gateways change after a failed trial, so another one is to make trials now. */
+    @Test
+    void aTrialThatEndedATargetIsNotRepeatedByAnotherGateway() {
+        shareOutTrials();
+        crashUnder(CONTENT, 1_000, 1_500, 2_000, 2_100 + TrialSchedule.DELAY_MS);
+        for (RequestQuarantine quarantine : List.of(first, second)) {
+            quarantine.setGateways(List.of("gateway-3"), "gateway-3");
+        }
+        assertThat(trialsBegun(3_000 + 2 * TrialSchedule.DELAY_MS)).isZero();
+    }
+
+    /** The crashes of three targets at one moment may be a loss of power. */
+    @Test
+    void aRequestIsTriedAtOnceIfItsCrashesCoincide() {
+        shareOutTrials();
+        crashUnder(CONTENT, 1_000, 1_001, 1_002);
+        assertThat(trialsBegun(1_500)).isEqualTo(1);
+    }
 }
