Count the crash of a target that comes soon after a refuted one

A target whose connections were reset, and which answered after that, may end within 1.5 s. Its end was taken for the refuted one and did not count, so a trait that ends targets needed one more.

A refuted crash now carries the time of the answer that refutes it; what happens later counts. RequestQuarantineTest.enginesMayCrashSoonAfterTheyHaveAnswered failed before.

--- a/routing/src/main/java/org/bamboohatch/routing/quarantine/RequestQuarantine.java
+++ b/routing/src/main/java/org/bamboohatch/routing/quarantine/RequestQuarantine.java
@@ -261,7 +261,7 @@
         if (crash == null || crash.state() == State.REFUTED || !crash.isRefutedBy(now)) {
             return;
         }
-        crashes.put(target, crash.refute());
+        crashes.put(target, crash.refute(now));
         pendingReports.forEach(report -> report.changedCrashes.add(target));
         assessBy(now);
     }
--- a/routing/src/main/java/org/bamboohatch/routing/quarantine/TargetCrash.java
+++ b/routing/src/main/java/org/bamboohatch/routing/quarantine/TargetCrash.java
@@ -11,7 +11,7 @@
  * The presumed crash of a target: its connections ended while it answered requests.
  *
  * @param incarnation the incarnation that ended
- * @param at time at which it ended, in milliseconds
+ * @param at time at which it ended, in milliseconds; once it is refuted, time of the answer that shows so
  * @param suspects traits of the requests that the target had not answered, or had just begun to answer; those of a request
  *     come in its order
  * @param state certainty about the cause
@@ -46,23 +46,22 @@
      * Adds what is reported of the same incarnation. An attribution is not adopted, as the reporter may have known less.
      *
      * @param other the reported crash
-     * @return this crash, with the suspects of both if neither knows the cause; refuted if either is. An incarnation ends
-     *     once, so if one of the two was much later and the earlier one is refuted, the later one alone counts
+     * @return this crash, with the suspects of both if neither knows the cause. An incarnation ends once, so of a crash and
+     *     an answer that refutes one, the later counts
      */
     public TargetCrash merge(TargetCrash other) {
-        boolean otherIsLater = other.at > at + SHORTEST_RESTART_MS;
-        boolean otherIsEarlier = other.at < at - SHORTEST_RESTART_MS;
-        if (state == State.REFUTED && otherIsLater) {
-            return other;
-        }
         if (other.state == State.REFUTED) {
-            return otherIsEarlier ? this : refute();
+            return other.at < at ? this : refute(other.at);
+        }
+        if (state == State.REFUTED) {
+            return other.at > at ? other : this;
         }
         if (state != State.UNEXPLAINED || other.state != State.UNEXPLAINED) {
             return this;
         }
         Set<RequestTrait> union = new LinkedHashSet<>(suspects);
         union.addAll(other.suspects);
+        boolean otherIsLater = other.at > at + SHORTEST_RESTART_MS;
         return new TargetCrash(incarnation, otherIsLater ? other.at : at, List.copyOf(union), State.UNEXPLAINED);
     }
 
@@ -79,10 +78,11 @@
     /**
      * Returns the crash after the target has answered.
      *
-     * @return the refuted crash, without suspects
+     * @param answeredAt time of the answer, in milliseconds
+     * @return the refuted crash, without suspects, at the time of the answer
      */
-    public TargetCrash refute() {
-        return new TargetCrash(incarnation, at, List.of(), State.REFUTED);
+    public TargetCrash refute(long answeredAt) {
+        return new TargetCrash(incarnation, answeredAt, List.of(), State.REFUTED);
     }
 
     /**
--- a/routing/src/test/java/org/bamboohatch/routing/quarantine/RequestQuarantineTest.java
+++ b/routing/src/test/java/org/bamboohatch/routing/quarantine/RequestQuarantineTest.java
@@ -10,7 +10,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /** Gateways together keep a part that ends engines from them, and let sound parts pass whatever is lost. */
-class PromptQuarantineTest {
+class RequestQuarantineTest {
 
     private static final long DURATION_MS = 600_000;
 
@@ -115,6 +115,20 @@
         assertThat(refuses(second, COMMON, 9_000)).isFalse();
     }
 
+    /** Connections are reset, the engines answer, and end within the time of a restart after the reset. */
+    @Test
+    void enginesMayCrashSoonAfterTheyHaveAnswered() {
+        crash(3, 1_000);
+        for (int number = 0; number < 3; number++) {
+            first.recordActivity(engine(number), 1_150);
+        }
+        exchange(1_200);
+        crash(3, 1_600);
+        exchange(1_610);
+        assertThat(refuses(first, BAD, 2_000)).isTrue();
+        assertThat(refuses(second, BAD, 2_000)).isTrue();
+    }
+
     /** Bytes that an engine sent before its end are read after it on another connection. */
     @Test
     void bytesThatWereUnderWayDoNotRefuteACrash() {
