Count a simultaneous loss of targets once against traits that were sound

Six engines that lose power at one moment condemned each prompt part that was under way at all of them, and no response could clear it, as requests with it were refused.

Crashes within 100 ms count once against any trait that was answered before. Traits that never were keep counting each crash, because the third one has to be enough; what they lose to a loss of power is given back by the trial.

CrashAttributionTest.aPartThatWasSoundIsBlamedAfterMoreCrashes had crashes 1 ms apart, which is what a loss of power looks like; they are 200 ms apart now, with the same numbers and results. coincidentCrashesCountOnceAgainstATraitThatWasSound covers parts as well and failed for them before.

--- a/routing/src/main/java/org/bamboohatch/routing/quarantine/CrashAttribution.java
+++ b/routing/src/main/java/org/bamboohatch/routing/quarantine/CrashAttribution.java
@@ -201,7 +201,6 @@
             for (RequestTrait suspect : crash.suspects()) {
                 Long provenAt = generatedAt.get(suspect);
                 boolean coincident = provenAt != null
-                        && suspect.isContent()
                         && countedAt.containsKey(suspect)
                         && crash.at() <= countedAt.get(suspect) + COINCIDENCE_MS;
                 boolean counted = kind.test(suspect) && !coincident && (provenAt == null || crash.at() > provenAt);
