--- a/gateway/src/main/java/org/bamboohatch/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/GatewaySettings.java
@@ -20,8 +20,8 @@
  * @param retryReserve retries per window and service beyond those that requests add, for all gateways together
  * @param retryWindowMillis window of the retry budget, in milliseconds
  * @param memoryLeaseMillis lease of memory that is reserved at an engine for a prompt, in milliseconds
- * @param promptQuarantineMillis time for which the crash of an engine counts against the prompt part that caused it; requests
- *     with a part are refused while several crashes count against it, in milliseconds
+ * @param promptQuarantineMillis time for which the crash of a target counts against the prompt part or the request that
+ *     caused it, which is refused while several crashes count against it, in milliseconds
  * @param stopMillis maximum time from the signal to stop until the process stops serving requests, in milliseconds
  */
 public record GatewaySettings(
@@ -82,7 +82,8 @@
         long memoryLeaseMillis,
 
         @Setting(
-                description = "time after the crashes of engines for which the prompt part that caused them is refused",
+                description =
+                        "time after the crashes of targets for which the prompt part or request that caused them is refused",
                 unit = "milliseconds",
                 min = 1_000,
                 max = 86_400_000,
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/GatewayLoad.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/GatewayLoad.java
@@ -26,8 +26,8 @@
  * @param number number of the report, increasing from one report to the next
  * @param targets the gateway's load by target; targets that are not named are unchanged
  * @param leaving targets that are about to end
- * @param crashes engines that have presumably crashed
- * @param generated suspected prompt parts on which responses were generated
+ * @param crashes targets that have presumably crashed
+ * @param generated suspected traits on which responses were generated
  * @param limits limits that targets have named
  * @param pauses pauses that targets have asked for
  */
@@ -39,7 +39,7 @@
         List<TargetWork> targets,
         List<LeavingTarget> leaving,
         List<Crash> crashes,
-        List<GeneratedPart> generated,
+        List<GeneratedTrait> generated,
         List<Limit> limits,
         List<Pause> pauses)
         implements Message {
@@ -77,12 +77,12 @@
     }
 
     /**
-     * Presumed crash of an engine. Clocks of hosts differ, so reports carry ages instead of times.
+     * Presumed crash of a target. Clocks of hosts differ, so reports carry ages instead of times.
      *
-     * @param target name of the engine
+     * @param target name of the target
      * @param incarnation number of the incarnation that ended
      * @param ageMillis time since the crash, in milliseconds
-     * @param suspects prompt parts that may have caused it; a crash with many is reported in several pieces
+     * @param suspects traits of requests that may have caused it; a crash with many is reported in several pieces
      * @param state certainty about the cause
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
@@ -103,12 +103,12 @@
          * @return pieces with at most {@value #SUSPECTS_PER_PIECE} suspects each
          */
         static Stream<Crash> of(TargetCrash crash, long now) {
-            TargetIncarnation engine = crash.incarnation();
+            TargetIncarnation incarnation = crash.incarnation();
             int size = crash.suspects().size();
             return IntStream.iterate(0, start -> start == 0 || start < size, start -> start + SUSPECTS_PER_PIECE)
                     .mapToObj(start -> new Crash(
-                            engine.target(),
-                            engine.number(),
+                            incarnation.target(),
+                            incarnation.number(),
                             now - crash.at(),
                             crash.suspects().subList(start, Math.min(size, start + SUSPECTS_PER_PIECE)),
                             crash.state()));
@@ -120,14 +120,14 @@
     }
 
     /**
-     * A prompt part on which a response was generated.
+     * A trait of requests on which a response was generated.
      *
-     * @param part the part
+     * @param trait the trait
      * @param ageMillis time since the last response, in milliseconds
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    @JsonPropertyOrder({"part", "ageMillis"})
-    public record GeneratedPart(RequestTrait part, long ageMillis) {}
+    @JsonPropertyOrder({"trait", "ageMillis"})
+    public record GeneratedTrait(RequestTrait trait, long ageMillis) {}
 
     /**
      * Limit of a target on the requests that it takes from all gateways together.
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
@@ -48,7 +48,7 @@
 
     private static final Logger LOGGER = LogManager.getLogger(LoadExchange.class);
 
-    /** Targets or prompt parts in one datagram, so that it fits into a packet of a usual network. */
+    /** Targets or traits in one datagram, so that it fits into a packet of a usual network. */
     private static final int TARGETS_PER_REPORT = 24;
 
     /** Pieces of crashes in one datagram, each with several suspects. */
@@ -104,7 +104,7 @@
      *
      * @param workloads the load by target
      * @param leaving targets that are about to end
-     * @param observations crashes of engines and the prompt parts that are suspected of them
+     * @param observations crashes of targets and the traits of requests that are suspected of them
      * @param limits limits that targets have named
      * @param pauses the end of each pause that a target has asked for, in milliseconds, by target
      */
@@ -282,8 +282,8 @@
         List<GatewayLoad.Crash> crashes = content.observations().crashes().stream()
                 .flatMap(crash -> GatewayLoad.Crash.of(crash, now))
                 .toList();
-        List<GatewayLoad.GeneratedPart> generated = content.observations().generatedAt().entrySet().stream()
-                .map(part -> new GatewayLoad.GeneratedPart(part.getKey(), now - part.getValue()))
+        List<GatewayLoad.GeneratedTrait> generated = content.observations().generatedAt().entrySet().stream()
+                .map(trait -> new GatewayLoad.GeneratedTrait(trait.getKey(), now - trait.getValue()))
                 .toList();
         List<GatewayLoad.Limit> namedLimits = content.limits().stream()
                 .map(statement -> GatewayLoad.Limit.of(statement, now))
@@ -359,7 +359,9 @@
                                 .toList(),
                         report.generated().stream()
                                 .collect(Collectors.toMap(
-                                        GatewayLoad.GeneratedPart::part, part -> now - part.ageMillis(), Math::max))),
+                                        GatewayLoad.GeneratedTrait::trait,
+                                        generated -> now - generated.ageMillis(),
+                                        Math::max))),
                 now);
     }
 
--- a/gateway/src/test/java/org/bamboohatch/gateway/load/GatewayLoadTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/load/GatewayLoadTest.java
@@ -32,7 +32,7 @@
             List.of(),
             List.of(new GatewayLoad.Crash(
                     ENGINE, 7, 100, List.of(new RequestTrait("part")), TargetCrash.State.UNEXPLAINED)),
-            List.of(new GatewayLoad.GeneratedPart(new RequestTrait("part"), 200)),
+            List.of(new GatewayLoad.GeneratedTrait(new RequestTrait("part"), 200)),
             List.of(new GatewayLoad.Limit(ENGINE, 7, 1.5, 300), new GatewayLoad.Limit(ENGINE, 8, null, 300)),
             List.of(new GatewayLoad.Pause(ENGINE, 7, 400)));
 
--- a/routing/src/main/java/org/bamboohatch/routing/quarantine/RequestQuarantine.java
+++ b/routing/src/main/java/org/bamboohatch/routing/quarantine/RequestQuarantine.java
@@ -87,6 +87,7 @@
 
         /** Observes nothing. */
         enum Disabled implements Observer {
+            /** The only instance. */
             INSTANCE;
 
             @Override
