Test that a request which ends engines within its responses is found too

Both engine tests now have sound requests with the same prompt part beside the one that ends engines.

--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/CrashingRequestTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/CrashingRequestTest.java
@@ -26,6 +26,9 @@
 
     private static final String CRASHING_BODY = "crash";
 
+    /** Body of a request that ends its target after the first event of the response. */
+    private static final String LATE_CRASHING_BODY = "crash late";
+
     private static final String SLOW_BODY = "slow";
 
     private static final int TARGETS = 24;
@@ -86,7 +89,10 @@
         if (stream) {
             write(connection, streamHead(received.id(), "seal"));
         }
-        if (body.equals(CRASHING_BODY)) {
+        if (body.equals(LATE_CRASHING_BODY)) {
+            write(connection, chunk("id: 1\ndata: x\n\n"));
+        }
+        if (body.equals(CRASHING_BODY) || body.equals(LATE_CRASHING_BODY)) {
             crashingRequests.incrementAndGet();
             crashes.incrementAndGet();
             targets.get(target).crash();
@@ -131,6 +137,23 @@
         return crashingRequests.get() - before;
     }
 
+    /** Sends a request that ends engines to both gateways, and sound ones with the same prompt part beside it. */
+    private int lateRequestsBesideSoundOnes(String crashingBody) throws Exception {
+        assertServed(generate(first, "sound"));
+        for (int number = 0; crashes.get() < ENDED_TARGETS && number < MOST_REQUESTS; number++) {
+            generate(number % 2 == 0 ? first : second, crashingBody);
+            generate(second, "sound" + number);
+        }
+        TimeUnit.MILLISECONDS.sleep(CONTACT_MS);
+        int before = crashingRequests.get();
+        for (int number = 0; number < 5; number++) {
+            generate(first, crashingBody);
+            generate(second, crashingBody);
+            assertServed(generate(first, "sound"));
+        }
+        return crashingRequests.get() - before;
+    }
+
     private void assertServed(String response) {
         assertThat(response).startsWith("HTTP/1.1 200").contains("data: x");
     }
@@ -148,19 +171,13 @@
     /** Sound requests share the part of the prompt, so the part is not the cause. */
     @Test
     void aRequestThatEndedEnginesIsNotSentToFurtherOnesThoughItsPromptPartsAreSound() throws Exception {
-        assertServed(generate(first, "sound"));
-        for (int number = 0; crashes.get() < ENDED_TARGETS && number < MOST_REQUESTS; number++) {
-            generate(number % 2 == 0 ? first : second, CRASHING_BODY);
-            generate(second, "sound" + number);
-        }
-        TimeUnit.MILLISECONDS.sleep(CONTACT_MS);
-        int before = crashingRequests.get();
-        for (int number = 0; number < 5; number++) {
-            generate(first, CRASHING_BODY);
-            generate(second, CRASHING_BODY);
-            assertServed(generate(first, "sound"));
-        }
-        assertThat(crashingRequests.get() - before).isLessThanOrEqualTo(LATE_REQUESTS);
+        assertThat(lateRequestsBesideSoundOnes(CRASHING_BODY)).isLessThanOrEqualTo(LATE_REQUESTS);
+    }
+
+    /** Each response is resumed at another engine, so the caller has seen events of it. */
+    @Test
+    void aRequestThatEndedEnginesWithinItsResponseIsNotSentToFurtherOnes() throws Exception {
+        assertThat(lateRequestsBesideSoundOnes(LATE_CRASHING_BODY)).isLessThanOrEqualTo(LATE_REQUESTS);
     }
 
     @Test
