--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/CrashingRequestTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/CrashingRequestTest.java
@@ -1,6 +1,7 @@
 package org.bamboohatch.gateway.forward;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -45,6 +46,9 @@
     /** Requests that may still be sent to targets after that time. */
     private static final int LATE_REQUESTS = 3;
 
+    /** Time after which gateways have judged the last crashes, in milliseconds. */
+    private static final long SETTLING_MS = 500;
+
     /** Time for which a target works on a slow request, in milliseconds. */
     private static final long SLOW_MS = 400;
 
@@ -206,6 +210,30 @@
     /** Targets end while many of them work on the same sound request, which is answered nowhere meanwhile. */
     @Test
     void aPopularRequestThatWasUnderWayWhereTargetsEndedForAnotherReasonIsServed() throws Exception {
+        loseTargetsUnderPopularRequest(targets.subList(0, TARGETS - 1));
+        for (GatewayHarness gateway : List.of(first, second)) {
+            assertServed(call(gateway, "/read/x", SLOW_BODY));
+        }
+    }
+
+    /** No target is left that could answer the request, so no response speaks for it until it is sent again. */
+    @Test
+    void aPopularRequestIsServedOnceTargetsThatLostPowerAreBack() throws Exception {
+        loseTargetsUnderPopularRequest(List.copyOf(targets));
+        for (int number = 0; number < TARGETS; number++) {
+            int target = number;
+            targets.set(number, new FakeTarget((received, connection) -> respond(target, received, connection)));
+        }
+        TimeUnit.MILLISECONDS.sleep(SETTLING_MS);
+        for (GatewayHarness gateway : List.of(first, second)) {
+            gateway.incarnation = 2;
+            gateway.apply(targets.toArray(FakeTarget[]::new));
+            assertServed(call(gateway, "/read/x", SLOW_BODY));
+        }
+    }
+
+    /** Ends targets at one moment while a request that was served before is under way at many of them. */
+    private void loseTargetsUnderPopularRequest(List<FakeTarget> lost) throws Exception {
         assertServed(call(second, "/read/x", SLOW_BODY));
         int callers = 16;
         List<Thread> threads = new ArrayList<>();
@@ -214,8 +242,8 @@
             Thread caller = new Thread(() -> {
                 try {
                     call(gateway, "/read/x", SLOW_BODY);
-                } catch (IOException lost) {
-                    throw new IllegalStateException(lost);
+                } catch (IOException failed) {
+                    throw new UncheckedIOException(failed);
                 }
             });
             caller.start();
@@ -224,14 +252,11 @@
         while (slowRequests.get() < callers + 1) {
             TimeUnit.MILLISECONDS.sleep(1);
         }
-        for (FakeTarget target : targets.subList(0, TARGETS - 1)) {
+        for (FakeTarget target : lost) {
             target.crash();
         }
         for (Thread caller : threads) {
             caller.join();
         }
-        for (GatewayHarness gateway : List.of(first, second)) {
-            assertServed(call(gateway, "/read/x", SLOW_BODY));
-        }
     }
 }
