Case: the engine that has left exits, and orders are lost

Cause: the script of the late heartbeat showed that requests reach the engine, but not what that costs.

--- a/review/standin/Engine.java
+++ b/review/standin/Engine.java
@@ -178,6 +178,15 @@
         return answer.body().replaceAll("(?s).*\"heartbeat_address\"\\s*:\\s*\"([^\"]*)\".*", "$1");
     }
 
+    /** Listens no longer. */
+    void exit() {
+        try {
+            server.close();
+        } catch (IOException closed) {
+            // It listens no longer.
+        }
+    }
+
     void stopBeating() {
         beating = false;
     }
