--- a/replication/src/main/java/org/bamboohatch/replication/consensus/FollowerProgress.java
+++ b/replication/src/main/java/org/bamboohatch/replication/consensus/FollowerProgress.java
@@ -8,6 +8,12 @@
 
     private static final long SNAPSHOT_RETRY_TIMEOUT_MS = 5_000;
 
+    /**
+     * Time after a snapshot was sent from which on an acknowledged message shows that the snapshot is lost, in milliseconds.
+     * Messages to a follower keep their order unless its connection is replaced.
+     */
+    static final long SNAPSHOT_LOSS_MS = 500;
+
     private long nextIndex;
 
     /** Index of the last entry that is known to be durable at the follower. */
@@ -90,7 +96,8 @@
      * @return {@code true} if the follower may still acknowledge the snapshot
      */
     boolean isAwaitingSnapshot(long now) {
-        return pendingSnapshotIndex > matchIndex && now - snapshotSendTime < SNAPSHOT_RETRY_TIMEOUT_MS;
+        boolean lost = lastAcknowledgedSend - snapshotSendTime >= SNAPSHOT_LOSS_MS;
+        return pendingSnapshotIndex > matchIndex && !lost && now - snapshotSendTime < SNAPSHOT_RETRY_TIMEOUT_MS;
     }
 
     /**
