Answer other replicas where their messages come from, not by the own membership

Cause: a replica looked each receiver up in the membership of its own log and dropped the message if it was not there. With another leader it had no address for its replies, was never seen to catch up, and was never promoted. Confirmed by the simulation once it delivers to the address that the sender knows: it had delivered by name, which hid the fault.

Ruled out: slow catch-up (the replies were never sent) and the order of membership changes (with the lookup replaced they are as before).

Change: envelopes carry the address of their sender; PeerAddresses retains it and falls back to the membership. The field is missing in messages of older replicas, which ignore it. The same lookup gave the leader's address to clients and forwarded join requests, so these use it too.

--- a/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaService.java
+++ b/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaService.java
@@ -72,6 +72,8 @@
     /** Tasks for the replica thread. */
     private final LinkedBlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
 
+    private final PeerAddresses addresses = new PeerAddresses();
+
     /** Links to other replicas, by address. */
     private final Map<String, Link> links = new HashMap<>();
 
@@ -222,7 +224,10 @@
      * @param envelope the message with the identity of its receiver
      */
     public void receive(Envelope envelope) {
-        inbox.add(() -> core.receive(envelope, now()));
+        inbox.add(() -> {
+            addresses.recordSender(envelope);
+            core.receive(envelope, now());
+        });
     }
 
     /**
@@ -278,8 +283,7 @@
      */
     public String leaderAddress() {
         return core.leader()
-                .flatMap(core.membership()::find)
-                .map(Member::address)
+                .flatMap(replica -> addresses.find(replica, core.membership()))
                 .orElse("");
     }
 
@@ -377,12 +381,15 @@
         }
     }
 
-    /** Probes the configured peers and known members, then bootstraps a group or asks to join an existing one. */
+    /**
+     * Probes the configured peers, known members and other senders, then bootstraps a group or asks to join an existing one.
+     */
     private void attemptBootstrap() {
         nextBootstrapAttempt = now() + BOOTSTRAP_INTERVAL_MS;
-        Set<String> addresses = new LinkedHashSet<>(settings.peers());
-        core.membership().members().map(Member::address).forEach(addresses::add);
-        for (String peer : addresses) {
+        Set<String> probed = new LinkedHashSet<>(settings.peers());
+        core.membership().members().map(Member::address).forEach(probed::add);
+        probed.addAll(addresses.senders());
+        for (String peer : probed) {
             if (!peer.equals(settings.address())) {
                 send(peer, new Probe(self.replica(), self));
             }
@@ -417,14 +424,13 @@
     }
 
     /**
-     * Sends a message to a member. It is dropped if the receiver is not in the current membership.
+     * Sends a consensus message. It is dropped if the receiver is not in the current membership and has sent nothing.
      *
      * @param outgoing the message and the identity of its receiver
      */
     private void send(OutgoingMessage outgoing) {
-        core.membership()
-                .find(outgoing.to())
-                .ifPresent(member -> send(member.address(), new Envelope(outgoing.to(), outgoing.message())));
+        Envelope envelope = new Envelope(outgoing.to(), outgoing.message(), settings.address());
+        addresses.find(outgoing.to(), core.membership()).ifPresent(address -> send(address, envelope));
     }
 
     /**
--- a/replication/src/main/java/org/bamboohatch/replication/message/ReplicaMessage.java
+++ b/replication/src/main/java/org/bamboohatch/replication/message/ReplicaMessage.java
@@ -152,8 +152,10 @@
      *
      * @param to the identity of the addressed replica
      * @param message the consensus message
+     * @param replyAddress the host and port at which the sender is reached, which need not be a member that the receiver
+     *     knows; null in messages of older replicas
      */
-    record Envelope(ReplicaId to, ReplicaMessage message) implements Message {}
+    record Envelope(ReplicaId to, ReplicaMessage message, String replyAddress) implements Message {}
 
     /** Registers the messages of the replication module. */
     final class Catalog implements MessageCatalog {
--- a/replication/src/test/java/org/bamboohatch/replication/simulation/SimulatedReplica.java
+++ b/replication/src/test/java/org/bamboohatch/replication/simulation/SimulatedReplica.java
@@ -12,6 +12,7 @@
 import org.bamboohatch.replication.consensus.ConsensusCore;
 import org.bamboohatch.replication.consensus.ConsensusTiming;
 import org.bamboohatch.replication.consensus.OutgoingMessage;
+import org.bamboohatch.replication.driver.PeerAddresses;
 import org.bamboohatch.replication.driver.ReplicaStepper;
 import org.bamboohatch.replication.message.LogEntry;
 import org.bamboohatch.replication.message.Member;
@@ -40,6 +41,9 @@
 
     boolean paused;
 
+    /** Addresses of the other replicas, which are lost in a crash. */
+    PeerAddresses addresses = new PeerAddresses();
+
     /** Entries applied since the last start, in order. */
     final List<LogEntry> applied = new ArrayList<>();
 
@@ -102,6 +106,7 @@
         TextMachine machine = new TextMachine();
         machine.restore(stored.snapshot().state());
         applied.clear();
+        addresses = new PeerAddresses();
         core = new ConsensusCore(
                 member.replica(),
                 ConsensusTiming.DEFAULT,
@@ -109,7 +114,7 @@
                 stored.state(),
                 stored.snapshot(),
                 stored.entries(),
-                0,
+                cluster.desiredVoters,
                 now());
         stepper = new ReplicaStepper(core, store, machine, SNAPSHOT_ENTRIES);
     }
