Continue a stream that has begun only with events that follow

Cause: the response of the next target was classified without regard to what the caller had received. ForwardedRequest.mayReplace denied the replacement once the response had begun, so the attempt took the branch for a response that is passed on: buffered, appended to the stream, ended.

Ruled out: the framing of events (EventFramer held back the cut event) and the seal (it stays that of the first target).

Change: ForwardedRequest.mustReplace decides for both: a response that has begun is continued by a successful stream of events only. If no further target may be asked, the response is aborted. Events whose number does not follow are not passed on, and a stream is not resumed after an event without an id, which would come again.

CrashingRequestTest's fake target sent event 1 again when it was asked to continue after event 1, which the protocol excludes; it now sends the next number. Its bounds are unchanged.

--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/EventFramer.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/EventFramer.java
@@ -29,9 +29,12 @@
     /** Id of the incomplete event, or null. */
     private String pendingId;
 
-    /** Id of the last complete event, or null. */
+    /** Id of the last complete event that has a field, or null if it has none: the stream cannot be resumed after it. */
     private String lastEventId;
 
+    /** Whether an event was received whose id does not follow that of the event before it. */
+    private boolean outOfOrder;
+
     /** Whether the incomplete event has a field, rather than comments only. */
     private boolean pendingField;
 
@@ -50,7 +53,8 @@
     EventFramer() {}
 
     /**
-     * Appends bytes of the stream and returns those of the events that they complete.
+     * Appends bytes of the stream and returns those of the events that they complete, up to the first one that is out of
+     * order.
      *
      * @param part the next bytes; they are consumed
      * @param now current time, in milliseconds
@@ -58,11 +62,11 @@
      */
     byte[] append(ByteBuf part, long now) {
         int completeBytes = 0;
-        while (part.isReadable()) {
+        while (part.isReadable() && !outOfOrder) {
             int lineBytes = part.bytesBefore(LINE_FEED);
             partialEvent.writeBytes(part, lineBytes < 0 ? part.readableBytes() : lineBytes + 1);
             if (lineBytes >= 0) {
-                if (endLine(now)) {
+                if (endLine(now) && !outOfOrder) {
                     completeBytes = partialEvent.writerIndex();
                 }
                 lineStart = partialEvent.writerIndex();
@@ -113,27 +117,56 @@
      * @param now current time, in milliseconds
      */
     private void endEvent(long now) {
+        if (pendingId != null && !follows(pendingId)) {
+            outOfOrder = true;
+            return;
+        }
         if (pendingField) {
             progress++;
             pendingField = false;
+            lastEventId = pendingId;
         }
         if (pendingId != null) {
             if (eventCount > 0) {
                 longestInterTokenMillis = Math.max(longestInterTokenMillis, now - lastEventAt);
             }
             lastEventAt = now;
-            lastEventId = pendingId;
             pendingId = null;
             eventCount++;
         }
     }
 
+    /**
+     * Indicates whether an id may come after that of the last complete event. Ids increase, also from one target to the next
+     * one; only numbers can be compared.
+     *
+     * @param id id of the event
+     * @return whether the event does not repeat or precede the last one
+     */
+    private boolean follows(String id) {
+        try {
+            return lastEventId == null || Long.parseLong(id) > Long.parseLong(lastEventId);
+        } catch (NumberFormatException notComparable) {
+            return true;
+        }
+    }
+
     /** Discards the incomplete event; a target that resumes the stream sends it from its beginning. */
     void discardPartialEvent() {
         partialEvent.clear();
         lineStart = 0;
         pendingId = null;
         pendingField = false;
+        outOfOrder = false;
+    }
+
+    /**
+     * Indicates whether the target sent an event that does not follow the one before it. Nothing after that one is used.
+     *
+     * @return whether the incomplete event is out of order
+     */
+    boolean isOutOfOrder() {
+        return outOfOrder;
     }
 
     boolean hasPartialEvent() {
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardedRequest.java
@@ -1,6 +1,5 @@
 package org.bamboohatch.gateway.forward;
 
-import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
@@ -122,7 +121,7 @@
         long now = GatewayClock.now();
         Optional<RequestQuarantine.Entry> quarantined = monitor.admit(now);
         if (quarantined.isPresent()) {
-            giveUpQuarantined(now, quarantined.get());
+            giveUp(now, RequestMonitor.reason(quarantined.get()), RequestMonitor.refusal(quarantined.get(), now));
             return;
         }
         Optional<AttemptResources> chosen = forwarder.dispatcher().place(admitted, demand, history.excluded(), now);
@@ -271,28 +270,38 @@
     }
 
     /**
-     * Indicates whether an unsuccessful response should be replaced by that of another target.
+     * Indicates whether a response must not reach the caller: one that does not continue the stream whose events the caller
+     * has received, and the failure of a target if the request may be sent again.
      *
-     * @param attempt the attempt
      * @param head head of the response
-     * @return whether the target failed and the request may be sent again
+     * @param events whether the response is a stream of events
+     * @return whether the response has to be replaced by that of another target
      */
-    boolean mayReplace(ForwardingAttempt attempt, HttpResponse head) {
+    boolean mustReplace(HttpResponse head, boolean events) {
+        if (responding) {
+            return !events;
+        }
         boolean failed = head.status().code() >= TargetStatus.SERVER_ERROR;
-        return failed && !responding && admitted.route().mayRepeat() && mayRetry(GatewayClock.now());
+        return failed && admitted.route().mayRepeat() && mayRetry(GatewayClock.now());
     }
 
     /**
-     * Sends the request to another target after a failure that a target reported.
+     * Invoked when a target sent a response that has to be replaced. Sends the request to another target, or ends it.
      *
      * @param attempt the attempt
-     * @param head head of the response that reports the failure
+     * @param head head of the response
      */
     void onFailedResponse(ForwardingAttempt attempt, HttpResponse head) {
-        forwarder.targets().recordFailure(attempt.target(), GatewayClock.now());
+        long now = GatewayClock.now();
+        forwarder.targets().recordFailure(attempt.target(), now);
         log.failedResponse(attempt, head.status().code());
-        forwarder.spendBudget(admitted, GatewayClock.now());
-        sendToNextTarget();
+        if (spendRetry(now)) {
+            sendToNextTarget();
+        } else {
+            giveUp(
+                    now,
+                    "status " + head.status().code() + " of " + attempt.target().target());
+        }
     }
 
     /**
@@ -408,17 +417,6 @@
         giveUp(now, reason, refusal);
     }
 
-    private void giveUpQuarantined(long now, RequestQuarantine.Entry entry) {
-        boolean content = entry.trait().isContent();
-        String reason = content
-                ? "the same request has ended targets"
-                : "part " + entry.trait() + " of the prompt has ended engines";
-        ErrorCode code = content ? ErrorCode.REQUEST_QUARANTINED : ErrorCode.PROMPT_QUARANTINED;
-        Refusal refusal = Refusal.notRun(code, "No target gets the request: " + reason + ".")
-                .withRetryAfter(Duration.ofMillis(entry.until() - now));
-        giveUp(now, reason, refusal);
-    }
-
     /**
      * Ends the request without a complete response of a target.
      *
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardingAttempt.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardingAttempt.java
@@ -199,17 +199,17 @@
             forwarded.onNotExecuted(this, head);
             return;
         }
-        if (!success && forwarded.mayReplace(this, head)) {
+        boolean events = success && isEventStream(head);
+        if (forwarded.mustReplace(head, events)) {
             mode = Mode.DISCARD;
             forwarded.onFailedResponse(this, head);
             return;
         }
-        String type = head.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
-        if (success && type.startsWith(EVENT_STREAM)) {
-            mode = Mode.EVENTS;
-        } else {
-            mode = Mode.BUFFER;
-        }
+        mode = events ? Mode.EVENTS : Mode.BUFFER;
+    }
+
+    private static boolean isEventStream(HttpResponse head) {
+        return head.headers().get(HttpHeaderNames.CONTENT_TYPE, "").startsWith(EVENT_STREAM);
     }
 
     @Override
@@ -245,7 +245,10 @@
             forwarded.beginResponse(this, response, -1);
             forward(Unpooled.wrappedBuffer(events));
         }
-        if (forwarded.framer().partialEventBytes() > MAX_EVENT_BYTES) {
+        if (forwarded.framer().isOutOfOrder()) {
+            rejectResponse("event that does not follow event "
+                    + forwarded.framer().lastEventId().orElse(""));
+        } else if (forwarded.framer().partialEventBytes() > MAX_EVENT_BYTES) {
             rejectResponse("event of more than " + MAX_EVENT_BYTES + " bytes");
         }
     }
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/RequestMonitor.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/RequestMonitor.java
@@ -1,10 +1,13 @@
 package org.bamboohatch.gateway.forward;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 
 import org.bamboohatch.gateway.target.TargetAddress;
 import org.bamboohatch.kernel.id.RequestTrait;
+import org.bamboohatch.kernel.outcome.ErrorCode;
+import org.bamboohatch.kernel.outcome.Refusal;
 import org.bamboohatch.routing.quarantine.RequestQuarantine;
 
 /** Reports what one request does to targets, and tells whether it may still be sent to any. */
@@ -45,6 +48,31 @@
         return trial ? Optional.empty() : quarantined;
     }
 
+    /**
+     * Describes why a request is kept from all targets.
+     *
+     * @param entry what keeps it from them
+     * @return the reason, for the caller and the decision log
+     */
+    static String reason(RequestQuarantine.Entry entry) {
+        return entry.trait().isContent()
+                ? "the same request has ended targets"
+                : "part " + entry.trait() + " of the prompt has ended engines";
+    }
+
+    /**
+     * Creates the response to a request that is kept from all targets.
+     *
+     * @param entry what keeps it from them
+     * @param now current time, in milliseconds
+     * @return the refusal, with the remaining time of the quarantine
+     */
+    static Refusal refusal(RequestQuarantine.Entry entry, long now) {
+        ErrorCode code = entry.trait().isContent() ? ErrorCode.REQUEST_QUARANTINED : ErrorCode.PROMPT_QUARANTINED;
+        return Refusal.notRun(code, "No target gets the request: " + reason(entry) + ".")
+                .withRetryAfter(Duration.ofMillis(entry.until() - now));
+    }
+
     /**
      * Indicates whether the attempt that has begun may still be sent.
      *
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/CrashingRequestTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/CrashingRequestTest.java
@@ -90,11 +90,13 @@
             throws IOException, InterruptedException {
         String body = new String(received.body(), StandardCharsets.UTF_8);
         boolean stream = received.headers().containsKey("prompt-parts");
+        int next = 1 + Integer.parseInt(received.headers().getOrDefault("last-event-id", "0"));
+        String event = "id: " + next + "\ndata: x\n\n";
         if (stream) {
             write(connection, streamHead(received.id(), "seal"));
         }
         if (body.equals(LATE_CRASHING_BODY)) {
-            write(connection, chunk("id: 1\ndata: x\n\n"));
+            write(connection, chunk(event));
         }
         if (body.equals(CRASHING_BODY) || body.equals(LATE_CRASHING_BODY)) {
             crashingRequests.incrementAndGet();
@@ -106,7 +108,7 @@
             slowRequests.incrementAndGet();
             TimeUnit.MILLISECONDS.sleep(SLOW_MS);
         }
-        write(connection, stream ? chunk("id: 1\ndata: x\n\n") + "0\r\n\r\n" : answer(received.id(), "data: x"));
+        write(connection, stream ? chunk(event) + "0\r\n\r\n" : answer(received.id(), "data: x"));
         return true;
     }
 
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/EventFramerTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/EventFramerTest.java
@@ -50,4 +50,24 @@
                 .isEqualTo(bytes("id: 2\ndata: b\n\n"));
         assertThat(framer.lastEventId()).contains("2");
     }
+
+    /** A stream cannot be resumed after an event without an id: that event would be sent again. */
+    @Example
+    void anEventWithoutAnIdCannotBeResumedAfter() {
+        EventFramer framer = new EventFramer();
+        framer.append(Unpooled.wrappedBuffer(bytes("id: 1\ndata: a\n\ndata: b\n\n")), 5);
+        assertThat(framer.lastEventId()).isEmpty();
+        framer.append(Unpooled.wrappedBuffer(bytes("id: 2\ndata: c\n\n: note\n\n")), 5);
+        assertThat(framer.lastEventId()).contains("2");
+    }
+
+    @Example
+    void nothingIsForwardedFromAnEventThatIsOutOfOrder() {
+        EventFramer framer = new EventFramer();
+        byte[] forwarded = framer.append(
+                Unpooled.wrappedBuffer(bytes("id: 4\ndata: a\n\nid: 5\ndata: b\n\nid: 5\ndata: b\n\nid: 6\n\n")), 5);
+        assertThat(new String(forwarded, StandardCharsets.UTF_8)).isEqualTo("id: 4\ndata: a\n\nid: 5\ndata: b\n\n");
+        assertThat(framer.isOutOfOrder()).isTrue();
+        assertThat(framer.lastEventId()).contains("5");
+    }
 }
