Replace the buffered response of a lost attempt instead of appending to it

What callers would see: the body of a plain call twice in one response.

Cause: the sinks of responses that are sent as a whole collect the chunks of all attempts. That is right for engines, which continue after the tokens that were delivered, but a plain service sends its whole response again, and so does the ledger. If only the end of the first response was lost, the body of the second attempt, or the recorded one, was appended to it.

Change: sinks discard what they have not sent when an attempt begins without delivered tokens and before a recorded response.

Tests: the two new ones of CallerRequestTest; both failed with the calls of discardUnsent taken out ("wholewhole").

--- a/entry/src/main/java/org/bamboohatch/entry/http/CallerSinks.java
+++ b/entry/src/main/java/org/bamboohatch/entry/http/CallerSinks.java
@@ -62,6 +62,11 @@
                     .chunkJson(context.id(), context.model(), new String(data, StandardCharsets.UTF_8), null));
         }
 
+        @Override
+        public void discardUnsent() {
+            // Every chunk is sent at once.
+        }
+
         @Override
         public synchronized void complete(int status, String contentType, String finishReason) {
             begin();
@@ -122,6 +127,12 @@
             outputTokens += tokens;
         }
 
+        @Override
+        public synchronized void discardUnsent() {
+            buffer.reset();
+            outputTokens = 0;
+        }
+
         @Override
         public synchronized void complete(int status, String contentType, String finishReason) {
             JsonResponse.write(
@@ -168,6 +179,11 @@
             buffer.writeBytes(data);
         }
 
+        @Override
+        public synchronized void discardUnsent() {
+            buffer.reset();
+        }
+
         @Override
         public synchronized void complete(int status, String contentType, String finishReason) {
             JsonResponse.write(response, callback, status, contentType, buffer.toByteArray());
--- a/entry/src/main/java/org/bamboohatch/entry/request/CallerRequest.java
+++ b/entry/src/main/java/org/bamboohatch/entry/request/CallerRequest.java
@@ -127,13 +127,17 @@
     }
 
     /**
-     * Begins an attempt; chunks of earlier attempts are dropped from now on.
+     * Begins an attempt; chunks of earlier attempts are dropped from now on. An engine continues after the tokens that were
+     * delivered; any other target sends the whole response again.
      *
      * @param attempt identifier of the new attempt
      */
     public synchronized void beginAttempt(AttemptId attempt) {
         currentAttempt = attempt;
         nextSequence = 0;
+        if (deliveredTokens == 0) {
+            sink.discardUnsent();
+        }
         attemptCount++;
     }
 
@@ -254,6 +258,7 @@
     public synchronized boolean completeRecorded(int status, String contentType, byte[] body) {
         boolean endedNow = ended.compareAndSet(false, true);
         if (endedNow) {
+            sink.discardUnsent();
             sink.chunk(body, 0);
             sink.complete(status, contentType, "");
         }
--- a/entry/src/main/java/org/bamboohatch/entry/request/CallerSink.java
+++ b/entry/src/main/java/org/bamboohatch/entry/request/CallerSink.java
@@ -15,6 +15,9 @@
      */
     void chunk(byte[] data, int tokens);
 
+    /** Discards the chunks that were not sent yet, because the response begins again. */
+    void discardUnsent();
+
     /**
      * Ends the response successfully.
      *
--- a/entry/src/test/java/org/bamboohatch/entry/request/CallerRequestTest.java
+++ b/entry/src/test/java/org/bamboohatch/entry/request/CallerRequestTest.java
@@ -40,6 +40,11 @@
             text.append(new String(data, StandardCharsets.UTF_8));
         }
 
+        @Override
+        public void discardUnsent() {
+            text.setLength(0);
+        }
+
         @Override
         public void complete(int status, String contentType, String finishReason) {
             ends.add("complete");
@@ -102,6 +107,31 @@
         assertThat(request.deliveredTokens()).isEqualTo(2);
     }
 
+    private void deliverPlain(AttemptId attempt, String text) {
+        request.deliver(new Chunk(attempt, 0, 0, text.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    /** Guards against the bodies of two attempts in one response, when the end of the first one was lost. */
+    @Example
+    void thePlainResponseOfASecondAttemptReplacesThatOfTheFirst() {
+        request.beginAttempt(FIRST);
+        deliverPlain(FIRST, "whole");
+        request.dropAttempt();
+        request.beginAttempt(SECOND);
+        deliverPlain(SECOND, "whole");
+        request.complete(SECOND, 1, 200, "text/plain", "");
+        assertThat(sink.text).hasToString("whole");
+    }
+
+    /** Guards against a recorded body behind the one that the target had sent already. */
+    @Example
+    void theRecordedResponseReplacesThatOfTheTarget() {
+        request.beginAttempt(FIRST);
+        deliverPlain(FIRST, "whole");
+        request.completeRecorded(200, "text/plain", "whole".getBytes(StandardCharsets.UTF_8));
+        assertThat(sink.text).hasToString("whole");
+    }
+
     @Example
     void completionWithMissingChunksBreaksInvariant() {
         request.beginAttempt(FIRST);
