Give each run of an agent a connection of its own

What callers would see: the response to an earlier run, such as its refusal, as that of theirs; a non-idempotent run would be recorded with it. Other operators reported the like ("a faulty engine wrote an earlier refusal once more on a kept connection"). Gateways tell such responses by the request id that targets repeat; the targets of agents repeat none.

Cause: the agent's HTTP client kept connections, and takes the first response that arrives after a request for its own.

Ruled out: the client's check for bytes on an idle connection, which does not help when the copy arrives after the next request was sent.

Change: runs are sent with Connection: close. Agents run beside their targets, so a connection costs a loopback handshake. Calls for load and streams keep connections; a wrong answer there lasts until the next look.

--- a/agent/src/main/java/org/bamboohatch/agent/driver/HttpCalls.java
+++ b/agent/src/main/java/org/bamboohatch/agent/driver/HttpCalls.java
@@ -14,6 +14,8 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.http.HttpMethod;
 
 /** HTTP calls to a target that the drivers share. */
@@ -44,7 +46,9 @@
     }
 
     /**
-     * Creates the HTTP request of a dispatched request. Its timeout is the remaining time of the dispatched request.
+     * Creates the HTTP request of a dispatched request. Its timeout is the remaining time of the dispatched request. It has a
+     * connection of its own: targets do not repeat an id, so on a kept connection a late second response to an earlier request
+     * could be taken for that of this one.
      *
      * @param dispatch the dispatched request
      * @return the HTTP request, which has not been sent
@@ -52,6 +56,7 @@
     Request newRequest(Dispatch dispatch) {
         Request request = client.newRequest(targetUrl + dispatch.call().path())
                 .method(dispatch.call().method())
+                .headers(headers -> headers.put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString()))
                 .timeout(dispatch.remainingMillis(), TimeUnit.MILLISECONDS);
         if (dispatch.call().body().length > 0) {
             request.body(new BytesRequestContent(
