Take no output from the error response of an engine

What callers would see: text from the body of an engine's error among the output of a completion, before the error itself.

Cause: the completions driver parsed the events of every response and looked at the status only at its end.

Change: events are parsed in responses with status 200 only.

Test: TargetDriversTest.anErrorOfAnEngineIsNoOutput, failed before with the text of the error delivered.

--- a/agent/src/main/java/org/bamboohatch/agent/driver/CompletionsDriver.java
+++ b/agent/src/main/java/org/bamboohatch/agent/driver/CompletionsDriver.java
@@ -14,6 +14,7 @@
 import org.bamboohatch.protocol.message.ControlReply.PlacementOrder;
 import org.bamboohatch.protocol.message.LoadedModel;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.http.HttpStatus;
 
 /** Driver for model engines that serve the common completions API. */
 public final class CompletionsDriver implements TargetDriver {
@@ -51,7 +52,11 @@
             AnswerReader reader = new AnswerReader(listener);
             ServerSentEventParser parser = new ServerSentEventParser(reader::onEvent);
             calls.newRequest(dispatch)
-                    .onResponseContent((response, buffer) -> parser.parse(buffer))
+                    .onResponseContent((response, buffer) -> {
+                        if (response.getStatus() == HttpStatus.OK_200) {
+                            parser.parse(buffer);
+                        }
+                    })
                     .send(result -> {
                         int status = result.getResponse() == null
                                 ? 0
@@ -61,7 +66,7 @@
                                     HttpCalls.mayHaveStarted(result),
                                     "engine connection failed: "
                                             + result.getFailure().getMessage());
-                        } else if (status != 200 || !reader.isComplete()) {
+                        } else if (status != HttpStatus.OK_200 || !reader.isComplete()) {
                             listener.onFailure(true, "engine ended the answer early with status " + status);
                         } else {
                             listener.onEnd(status, "text/event-stream", reader.finishReason);
--- a/agent/src/test/java/org/bamboohatch/agent/driver/TargetDriversTest.java
+++ b/agent/src/test/java/org/bamboohatch/agent/driver/TargetDriversTest.java
@@ -143,6 +143,14 @@
         }
     }
 
+    /** Guards against events in the body of an error that are taken for output. */
+    @Test
+    void anErrorOfAnEngineIsNoOutput() throws Exception {
+        try (ServerSocket target = target(number -> response("500 Broken", EVENT + "data: [DONE]\n\n"))) {
+            assertThat(run(new CompletionsDriver(), target).awaitEnd()).isEqualTo("failed ");
+        }
+    }
+
     @Test
     void theOutputOfAnEngineIsDelivered() throws Exception {
         try (ServerSocket target = target(number -> response("200 OK", EVENT + "data: [DONE]\n\n"))) {
