Record departures of targets in the replicated log

What callers saw: orders lost with 502.

Cause: departures were kept in the memory of the leader only, as ended leases and lowest incarnations. The registry of the next leader begins empty.

Ruled out: the order of announcements within one leader (sequence numbers hold there) and gateways that keep an old copy (they had applied the departure).

Change: a departure is recorded by a command before it is acknowledged, also one that a heartbeat announces. Leaders begin with the recorded departures, and end the lease of a target whose departure they apply later.

--- a/control/src/main/java/org/bamboohatch/control/membership/TargetRegistry.java
+++ b/control/src/main/java/org/bamboohatch/control/membership/TargetRegistry.java
@@ -6,12 +6,14 @@
 import java.util.Map;
 import java.util.TreeMap;
 
+import org.bamboohatch.control.state.TargetDeparture;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.protocol.message.TargetAnnouncement;
 
 /**
- * Tracks the targets that have a lease from this leader. The registry is not replicated: after a change of leader the
- * targets announce themselves again, and until a whole lease has passed the registry is incomplete.
+ * Tracks the targets that have a lease from this leader. The leases are not replicated: after a change of leader the
+ * targets announce themselves again, and until a whole lease has passed the registry is incomplete. The departures that
+ * earlier leaders have acknowledged are known from the start.
  */
 public final class TargetRegistry {
 
@@ -36,8 +38,8 @@
     /** Number of changes of the membership in this epoch. */
     private long version;
 
-    /** Lowest incarnation with which each deregistered target can return; incarnations are Unix milliseconds. */
-    private final Map<TargetName, Long> minimumIncarnations = new TreeMap<>();
+    /** The latest known departure of each target; incarnations of deregistered targets are Unix milliseconds. */
+    private final Map<TargetName, KnownDeparture> departures = new TreeMap<>();
 
     /** Highest version of a departure that is no longer retained. */
     private long prunedVersion;
@@ -52,6 +54,14 @@
      */
     private record Lease(TargetAnnouncement announcement, long renewedAt, long version, boolean departed) {}
 
+    /**
+     * A departure that the registry knows.
+     *
+     * @param departure the departure
+     * @param since monotonic time since which it is known, in milliseconds
+     */
+    private record KnownDeparture(TargetDeparture departure, long since) {}
+
     /**
      * The difference between the registry and a copy of it.
      *
@@ -65,14 +75,16 @@
             long epoch, long version, boolean full, List<TargetAnnouncement> joined, List<TargetName> departed) {}
 
     /**
-     * Creates an empty registry.
+     * Creates a registry without leases.
      *
      * @param epoch epoch of the registry, the leader's term
+     * @param recorded the departures that were recorded before
      * @param now current monotonic time, in milliseconds
      */
-    public TargetRegistry(long epoch, long now) {
+    public TargetRegistry(long epoch, List<TargetDeparture> recorded, long now) {
         this.epoch = epoch;
         this.completeAt = now + LEASE_MS;
+        recorded.forEach(departure -> departures.put(departure.target(), new KnownDeparture(departure, now)));
     }
 
     /**
@@ -104,8 +116,8 @@
     }
 
     /**
-     * Renews the lease of a target, or ends it if the target is leaving. Announcements of deregistered, earlier or
-     * replaced incarnations and those that arrive out of order are ignored.
+     * Renews the lease of a target, or ends it if the target is leaving. Announcements from before the departure of a target,
+     * those of earlier or replaced incarnations and those that arrive out of order are ignored.
      *
      * @param announcement announcement of the target
      * @param now current monotonic time, in milliseconds
@@ -113,8 +125,8 @@
      */
     public boolean announce(TargetAnnouncement announcement, long now) {
         Lease known = leases.get(announcement.target());
-        Long minimumIncarnation = minimumIncarnations.get(announcement.target());
-        if (minimumIncarnation != null && announcement.incarnation() < minimumIncarnation) {
+        KnownDeparture departure = departures.get(announcement.target());
+        if (departure != null && departure.departure().precludes(announcement)) {
             return false;
         }
         if (known != null && isStale(announcement, known) || yieldsAddress(announcement)) {
@@ -176,29 +188,45 @@
     }
 
     /**
-     * Ends the lease of a target that has stopped. Only a later incarnation of it can return: one later than the last
-     * announced, or, if no announcement is known, one that started after the given time less the clock tolerance.
+     * Determines the departure of a target that has stopped. Only a later incarnation of it can return: one later than the
+     * last announced, or, if no announcement is known, one that started after the given time less the clock tolerance.
      *
      * @param target name of the target
      * @param wallTime time of the deregistration, in Unix milliseconds
-     * @return whether the target had a lease
+     * @return the departure, which is not known to the registry yet
      */
-    public boolean deregister(TargetName target, long wallTime) {
+    public TargetDeparture departureOf(TargetName target, long wallTime) {
         Lease known = leases.get(target);
-        long minimumIncarnation = known == null
-                ? wallTime - CLOCK_TOLERANCE_MS
-                : known.announcement().incarnation() + 1;
-        minimumIncarnations.merge(target, minimumIncarnation, Math::max);
-        if (known == null || known.departed()) {
+        return TargetDeparture.deregistered(
+                target,
+                known == null
+                        ? wallTime - CLOCK_TOLERANCE_MS - 1
+                        : known.announcement().incarnation());
+    }
+
+    /**
+     * Ends the lease of a target that has left, and ignores from now on what it announced before.
+     *
+     * @param departure the departure
+     * @param now current monotonic time, in milliseconds
+     * @return whether the target had a lease that it loses
+     */
+    public boolean depart(TargetDeparture departure, long now) {
+        KnownDeparture latest = departures.get(departure.target());
+        if (latest == null || !latest.departure().includes(departure)) {
+            departures.put(departure.target(), new KnownDeparture(departure, now));
+        }
+        Lease lease = leases.get(departure.target());
+        if (lease == null || lease.departed() || !departure.precludes(lease.announcement())) {
             return false;
         }
         version++;
-        leases.put(target, new Lease(known.announcement(), known.renewedAt(), version, true));
+        leases.put(departure.target(), new Lease(lease.announcement(), lease.renewedAt(), version, true));
         return true;
     }
 
     /**
-     * Ends the expired leases and removes the departed targets whose retention time has passed.
+     * Ends the expired leases and removes the departures whose retention time has passed.
      *
      * @param now current monotonic time, in milliseconds
      * @return whether any lease was ended
@@ -213,6 +241,7 @@
                 changed = true;
             }
         }
+        departures.values().removeIf(departure -> now - departure.since() > TOMBSTONE_RETENTION_MS);
         leases.values().removeIf(lease -> {
             boolean expired = lease.departed() && now - lease.renewedAt() > TOMBSTONE_RETENTION_MS;
             if (expired) {
--- a/control/src/main/java/org/bamboohatch/control/server/ControlServer.java
+++ b/control/src/main/java/org/bamboohatch/control/server/ControlServer.java
@@ -119,7 +119,7 @@
         this.answers = new SubscriberAnswers(stateMachine);
         this.session = new LeaderSession(settings, replica, stateMachine, network);
         this.subscriberRequests = new SubscriberRequests(session, stateMachine, answers, this::planPlacement);
-        this.fleetRequests = new FleetRequests(session, settings, replica);
+        this.fleetRequests = new FleetRequests(session, settings, replica, stateMachine);
     }
 
     @Override
@@ -230,9 +230,9 @@
         } else if (request instanceof Announce announce) {
             subscriberRequests.announce(announce, exchange);
         } else if (request instanceof Register register) {
-            fleetRequests.register(register, exchange);
+            fleetRequests.register(register, this::ledgerTime, exchange);
         } else if (request instanceof Deregister deregister) {
-            fleetRequests.deregister(deregister, exchange);
+            fleetRequests.deregister(deregister, this::ledgerTime, exchange);
         } else if (request instanceof AwaitInForce await) {
             subscriberRequests.awaitInForce(await, exchange);
         } else {
--- a/control/src/main/java/org/bamboohatch/control/server/FleetRequests.java
+++ b/control/src/main/java/org/bamboohatch/control/server/FleetRequests.java
@@ -1,5 +1,6 @@
 package org.bamboohatch.control.server;
 
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
@@ -8,6 +9,7 @@
 import org.bamboohatch.control.ControlSettings;
 import org.bamboohatch.control.state.Command;
 import org.bamboohatch.control.state.ControlStateMachine;
+import org.bamboohatch.control.state.TargetDeparture;
 import org.bamboohatch.protocol.message.ControlReply;
 import org.bamboohatch.protocol.message.ControlReply.Undecided;
 import org.bamboohatch.protocol.message.ControlRequest.Deregister;
@@ -38,17 +40,22 @@
 
     private final ReplicaService replica;
 
+    private final ControlStateMachine stateMachine;
+
     /**
      * Creates a handler that serves while the session leads.
      *
      * @param session the leader's state and held replies
      * @param settings settings of the control process
      * @param replica the replica to propose commands to
+     * @param stateMachine the replicated state
      */
-    FleetRequests(LeaderSession session, ControlSettings settings, ReplicaService replica) {
+    FleetRequests(
+            LeaderSession session, ControlSettings settings, ReplicaService replica, ControlStateMachine stateMachine) {
         this.session = session;
         this.settings = settings;
         this.replica = replica;
+        this.stateMachine = stateMachine;
     }
 
     /**
@@ -89,13 +96,14 @@
     }
 
     /**
-     * Renews the lease of a target that gateways call directly. The announcement that it leaves is acknowledged once
-     * every live gateway applies it.
+     * Renews the lease of a target that gateways call directly. The announcement that it leaves is acknowledged once it is
+     * recorded and every live gateway applies it.
      *
      * @param register the announcement
+     * @param ledgerTime supplies the current ledger time, in milliseconds
      * @param exchange receives the reply
      */
-    void register(Register register, Exchange exchange) {
+    void register(Register register, LongSupplier ledgerTime, Exchange exchange) {
         long now = ReplicaService.now();
         TargetAnnouncement target = register.announcement();
         boolean changed = session.leader().targets().announce(target, now);
@@ -109,44 +117,74 @@
             session.releaseChanged();
         }
         if (target.leaving()) {
-            confirmDeparture(now, exchange);
+            TargetDeparture departure = TargetDeparture.of(target);
+            // Repeated announcements that the target leaves add nothing to the record of the first one.
+            confirmDeparture(changed ? departure : recordedOr(departure), ledgerTime, now, exchange);
         } else {
             exchange.end(new ControlReply.Registered(settings.advertisedAddress()));
         }
     }
 
+    private TargetDeparture recordedOr(TargetDeparture departure) {
+        return stateMachine
+                .departures()
+                .find(departure.target())
+                .filter(recorded -> recorded.incarnation() >= departure.incarnation())
+                .orElse(departure);
+    }
+
     /**
-     * Ends the lease of a target that has stopped; acknowledged once every live gateway applies it.
+     * Ends the lease of a target that has stopped; acknowledged once it is recorded and every live gateway applies it.
      *
      * @param deregister the request
+     * @param ledgerTime supplies the current ledger time, in milliseconds
      * @param exchange receives the reply
      */
-    void deregister(Deregister deregister, Exchange exchange) {
-        session.leader().targets().deregister(deregister.target(), deregister.wallTime());
+    void deregister(Deregister deregister, LongSupplier ledgerTime, Exchange exchange) {
+        long now = ReplicaService.now();
+        TargetDeparture departure = session.leader().targets().departureOf(deregister.target(), deregister.wallTime());
+        session.leader().targets().depart(departure, now);
         LOGGER.info("targets: {} was deregistered", deregister.target());
-        confirmDeparture(ReplicaService.now(), exchange);
+        confirmDeparture(departure, ledgerTime, now, exchange);
     }
 
     /**
-     * Acknowledges a departure once every live gateway applies the current version of the membership, or answers that
-     * it is undecided after {@value #DEPARTURE_ACKNOWLEDGEMENT_TIMEOUT_MS} ms.
+     * Records a departure and acknowledges it once every live gateway applies the current version of the membership, or
+     * answers that it is undecided after {@value #DEPARTURE_ACKNOWLEDGEMENT_TIMEOUT_MS} ms. Without the record, the next
+     * leader would take a late announcement of the target for a new one.
      *
+     * @param departure the departure, which the registry knows
+     * @param ledgerTime supplies the current ledger time, in milliseconds
      * @param now current monotonic time, in milliseconds
      * @param exchange receives the reply
      */
-    private void confirmDeparture(long now, Exchange exchange) {
+    private void confirmDeparture(TargetDeparture departure, LongSupplier ledgerTime, long now, Exchange exchange) {
         long version = session.leader().targets().version();
         long term = session.leader().term();
+        if (!isRecorded(departure)) {
+            replica.propose(() -> ControlStateMachine.encode(Command.recording(ledgerTime.getAsLong(), departure)));
+        }
+        BooleanSupplier confirmed =
+                () -> isRecorded(departure) && isAppliedByGateways(term, version) && session.isConfirmedSince(now);
         session.holdForAcknowledgement(
                 DEPARTURE_ACKNOWLEDGEMENT_TIMEOUT_MS,
-                () -> isAppliedByGateways(term, version) && session.isConfirmedSince(now),
+                confirmed,
                 () -> exchange.end(
-                        isAppliedByGateways(term, version) && session.isConfirmedSince(now)
+                        confirmed.getAsBoolean()
                                 ? new ControlReply.Registered(settings.advertisedAddress())
-                                : new Undecided("not every gateway has heard of the departure")));
+                                : new Undecided(
+                                        "the departure is not recorded, or not every gateway has heard of it")));
         session.releaseChanged();
     }
 
+    private boolean isRecorded(TargetDeparture departure) {
+        return stateMachine
+                .departures()
+                .find(departure.target())
+                .filter(recorded -> recorded.includes(departure))
+                .isPresent();
+    }
+
     /**
      * Indicates whether every live gateway applies a version of the membership.
      *
--- a/control/src/main/java/org/bamboohatch/control/server/LeaderSession.java
+++ b/control/src/main/java/org/bamboohatch/control/server/LeaderSession.java
@@ -7,6 +7,7 @@
 import org.apache.logging.log4j.Logger;
 import org.bamboohatch.control.ControlSettings;
 import org.bamboohatch.control.state.ControlStateMachine;
+import org.bamboohatch.control.state.TargetDeparture;
 import org.bamboohatch.protocol.message.ControlReply;
 import org.bamboohatch.protocol.transport.Network;
 import org.bamboohatch.replication.consensus.Role;
@@ -57,6 +58,19 @@
         this.replica = replica;
         this.stateMachine = stateMachine;
         this.network = network;
+        stateMachine.onDeparture(this::onDepartureApplied);
+    }
+
+    /**
+     * Ends the lease of a target that left under an earlier leader, and sends the replies that wait for the record.
+     *
+     * @param departure the departure that was applied
+     */
+    private void onDepartureApplied(TargetDeparture departure) {
+        if (leader != null) {
+            leader.targets().depart(departure, ReplicaService.now());
+            releaseAcknowledged();
+        }
     }
 
     /**
@@ -140,8 +154,11 @@
             leader = null;
         } else if (leader == null || leader.term() != replica.core().term()) {
             long now = ReplicaService.now();
-            leader =
-                    new LeaderState(replica.core().term(), stateMachine.ledger().time(), now);
+            leader = new LeaderState(
+                    replica.core().term(),
+                    stateMachine.departures().all(),
+                    stateMachine.ledger().time(),
+                    now);
             LOGGER.info("control: became leader in term {}", leader.term());
             network.timeline()
                     .record(settings.host().value(), "leads", "term " + leader.term(), System.currentTimeMillis());
--- a/control/src/main/java/org/bamboohatch/control/server/LeaderState.java
+++ b/control/src/main/java/org/bamboohatch/control/server/LeaderState.java
@@ -6,6 +6,7 @@
 import org.bamboohatch.control.membership.GatewayRegistry;
 import org.bamboohatch.control.membership.SubscriberRegistry;
 import org.bamboohatch.control.membership.TargetRegistry;
+import org.bamboohatch.control.state.TargetDeparture;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.protocol.message.ControlReply.PlacementOrder;
 
@@ -33,13 +34,14 @@
      * Creates the state at the start of a term.
      *
      * @param term the leader's term
+     * @param departures the recorded departures of targets
      * @param ledgerTime current ledger time, in milliseconds
      * @param now current monotonic time, in milliseconds
      */
-    LeaderState(long term, long ledgerTime, long now) {
+    LeaderState(long term, List<TargetDeparture> departures, long ledgerTime, long now) {
         this.gateways = new GatewayRegistry(term, now);
         this.term = term;
-        this.targets = new TargetRegistry(term, now);
+        this.targets = new TargetRegistry(term, departures, now);
         this.subscribers = new SubscriberRegistry(now);
         this.ledgerTimeAtStart = ledgerTime;
         this.startedAt = now;
--- a/control/src/main/java/org/bamboohatch/control/state/Command.java
+++ b/control/src/main/java/org/bamboohatch/control/state/Command.java
@@ -10,8 +10,31 @@
  *
  * @param time ledger time at which the leader proposed the command, in milliseconds
  * @param request the request that the state machine applies
+ * @param departure a target that has left, or null; a field beside the request, because older replicas stop at unknown
+ *     requests but ignore unknown fields
  */
-public record Command(long time, Message request) {
+public record Command(long time, Message request, TargetDeparture departure) {
+
+    /**
+     * Creates a command that records no departure.
+     *
+     * @param time ledger time at which the leader proposed the command, in milliseconds
+     * @param request the request that the state machine applies
+     */
+    public Command(long time, Message request) {
+        this(time, request, null);
+    }
+
+    /**
+     * Creates a command that only records a departure.
+     *
+     * @param time ledger time at which the leader proposed the command, in milliseconds
+     * @param departure the departure
+     * @return the command, whose request evicts nothing
+     */
+    public static Command recording(long time, TargetDeparture departure) {
+        return new Command(time, new Evict(Long.MIN_VALUE), departure);
+    }
 
     /**
      * Evicts old records from the ledger.
--- a/control/src/main/java/org/bamboohatch/control/state/ControlStateMachine.java
+++ b/control/src/main/java/org/bamboohatch/control/state/ControlStateMachine.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.function.Consumer;
 
 import org.bamboohatch.kernel.service.Invariant;
 import org.bamboohatch.protocol.message.ControlReply;
@@ -15,7 +16,10 @@
 import org.bamboohatch.protocol.message.MessageCodec;
 import org.bamboohatch.replication.StateMachine;
 
-/** Replicated state of the control processes: the service documents, the ledger of runs and the fleet configuration. */
+/**
+ * Replicated state of the control processes: the service documents, the ledger of runs, the fleet configuration and the
+ * targets that have left.
+ */
 public final class ControlStateMachine implements StateMachine {
 
     private final DocumentStateMachine documents = new DocumentStateMachine();
@@ -24,6 +28,11 @@
 
     private final FleetStateMachine fleet = new FleetStateMachine();
 
+    private final DepartureStateMachine departures = new DepartureStateMachine();
+
+    /** Notified of each departure that is applied. */
+    private Consumer<TargetDeparture> departureListener = departure -> {};
+
     /** Creates a state machine in its initial state. */
     public ControlStateMachine() {}
 
@@ -33,8 +42,13 @@
      * @param documents state of the service documents
      * @param ledger state of the ledger
      * @param fleet the fleet configuration, or null if there is none
+     * @param departures the targets that have left, null in snapshots of versions that recorded none
      */
-    private record State(DocumentStateMachine.State documents, LedgerStateMachine.State ledger, FleetText fleet) {}
+    private record State(
+            DocumentStateMachine.State documents,
+            LedgerStateMachine.State ledger,
+            FleetText fleet,
+            List<DepartureStateMachine.Recorded> departures) {}
 
     /**
      * Encodes a command for the log.
@@ -50,6 +64,10 @@
     public Object apply(long index, byte[] encoded) {
         Command command = decode(encoded, Command.class);
         ledger.advance(command.time());
+        if (command.departure() != null) {
+            departures.record(command.departure(), ledger.time());
+            departureListener.accept(command.departure());
+        }
         return applyRequest(command.request());
     }
 
@@ -79,7 +97,8 @@
 
     @Override
     public byte[] snapshot() {
-        return MessageCodec.instance().encode(new State(documents.state(), ledger.state(), fleet.current()));
+        return MessageCodec.instance()
+                .encode(new State(documents.state(), ledger.state(), fleet.current(), departures.state()));
     }
 
     @Override
@@ -88,11 +107,22 @@
                 ? new State(
                         new DocumentStateMachine.State(0, List.of(), List.of()),
                         new LedgerStateMachine.State(0, List.of()),
-                        null)
+                        null,
+                        List.of())
                 : decode(state, State.class);
         documents.restore(decoded.documents());
         ledger.restore(decoded.ledger());
         fleet.restore(decoded.fleet());
+        departures.restore(decoded.departures());
+    }
+
+    /**
+     * Sets the listener for departures.
+     *
+     * @param listener invoked with each departure that is applied, on the thread that applies it
+     */
+    public void onDeparture(Consumer<TargetDeparture> listener) {
+        departureListener = listener;
     }
 
     public DocumentStateMachine documents() {
@@ -103,6 +133,10 @@
         return fleet;
     }
 
+    public DepartureStateMachine departures() {
+        return departures;
+    }
+
     public LedgerStateMachine ledger() {
         return ledger;
     }
--- a/control/src/test/java/org/bamboohatch/control/membership/TargetRegistryTest.java
+++ b/control/src/test/java/org/bamboohatch/control/membership/TargetRegistryTest.java
@@ -13,7 +13,7 @@
 
 class TargetRegistryTest {
 
-    private final TargetRegistry registry = new TargetRegistry(5, 0);
+    private final TargetRegistry registry = new TargetRegistry(5, List.of(), 0);
 
     private static TargetAnnouncement target(String name, long incarnation, boolean leaving) {
         return new TargetAnnouncement(
@@ -116,10 +116,14 @@
         assertThat(registry.live()).isEmpty();
     }
 
+    private boolean deregister(String name, long wallTime) {
+        return registry.depart(registry.departureOf(new TargetName(name), wallTime), 10);
+    }
+
     @Test
     void deregisteredTargetReturnsOnlyWithLaterIncarnation() {
         registry.announce(targetWithSequence("a", "127.0.0.1:1", 100, 5, false), 0);
-        assertThat(registry.deregister(new TargetName("a"), 50_000)).isTrue();
+        assertThat(deregister("a", 50_000)).isTrue();
         assertThat(registry.announce(targetWithSequence("a", "127.0.0.1:1", 100, 9, false), 10))
                 .isFalse();
         assertThat(registry.live()).isEmpty();
@@ -130,7 +134,7 @@
 
     @Test
     void deregistrationOfUnknownTargetRejectsItsEarlierIncarnations() {
-        assertThat(registry.deregister(new TargetName("a"), 50_000)).isFalse();
+        assertThat(deregister("a", 50_000)).isFalse();
         assertThat(registry.announce(targetWithSequence("a", "127.0.0.1:1", 40_000, 9, false), 10))
                 .isFalse();
         assertThat(registry.announce(targetWithSequence("a", "127.0.0.1:1", 50_500, 1, false), 10))
--- a/control/src/test/java/org/bamboohatch/control/server/SubscriberAnswersTest.java
+++ b/control/src/test/java/org/bamboohatch/control/server/SubscriberAnswersTest.java
@@ -20,7 +20,7 @@
 
     private final SubscriberAnswers answers = new SubscriberAnswers(new ControlStateMachine());
 
-    private final LeaderState leader = new LeaderState(TERM, 0, 0);
+    private final LeaderState leader = new LeaderState(TERM, List.of(), 0, 0);
 
     private static Poll poll(long epoch) {
         return new Poll(new HostName("gateway-1"), new ZoneName("zone-a"), 0, epoch, 0, 45, "127.0.0.1:1", false);
