Distinguish an empty list of client accounts from a missing one

Cause: a missing list means that requests need no key. The reader turned a missing list into an empty one, and the route table an empty one into "no keys".

Change: the accounts are an optional list, and only its absence opens a configuration.

--- a/document/src/main/java/org/bamboohatch/document/fleet/FleetConfiguration.java
+++ b/document/src/main/java/org/bamboohatch/document/fleet/FleetConfiguration.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -16,20 +17,21 @@
  * @param routes routes of requests to services
  * @param services services that routes may refer to
  * @param limits limits on the requests and connections of callers
- * @param accounts client accounts; if there are none, requests need no key
+ * @param accounts client accounts, whose keys requests need; empty if requests need no key, unlike an empty list, which
+ *     admits no key
  */
 public record FleetConfiguration(
         long version,
         List<Route> routes,
         List<FleetService> services,
         CallerLimits limits,
-        List<FleetAccount> accounts) {
+        Optional<List<FleetAccount>> accounts) {
 
     /** Copies the lists to keep the record immutable. */
     public FleetConfiguration {
         routes = List.copyOf(routes);
         services = List.copyOf(services);
-        accounts = List.copyOf(accounts);
+        accounts = accounts.map(List::copyOf);
     }
 
     /**
@@ -48,7 +50,7 @@
             }
         }
         Set<String> keys = new HashSet<>();
-        for (FleetAccount account : accounts) {
+        for (FleetAccount account : accounts.orElse(List.of())) {
             for (String key : new HashSet<>(account.keys())) {
                 if (!keys.add(key)) {
                     problems.add("account " + account.name() + ": another account has one of its keys");
--- a/document/src/test/java/org/bamboohatch/document/fleet/FleetConfigurationTest.java
+++ b/document/src/test/java/org/bamboohatch/document/fleet/FleetConfigurationTest.java
@@ -24,7 +24,7 @@
 
     private static FleetConfiguration configuration(List<Route> routes, List<FleetAccount> accounts) {
         FleetService portal = new FleetService(PORTAL, "/healthz", 10, Optional.empty());
-        return new FleetConfiguration(1, routes, List.of(portal), CallerLimits.DEFAULT, accounts);
+        return new FleetConfiguration(1, routes, List.of(portal), CallerLimits.DEFAULT, Optional.of(accounts));
     }
 
     private static List<WeightedService> onlyPortal() {
--- a/gateway/src/main/java/org/bamboohatch/gateway/configuration/RouteTable.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/configuration/RouteTable.java
@@ -47,9 +47,8 @@
                 .reversed();
         routes.values().forEach(list -> list.sort(longestFirst));
         configuration.services().forEach(service -> services.put(service.name(), service));
-        for (FleetAccount account : configuration.accounts()) {
-            account.keys().forEach(key -> accounts.put(hash(key), account));
-        }
+        configuration.accounts().orElse(List.of()).forEach(account -> account.keys()
+                .forEach(key -> accounts.put(hash(key), account)));
     }
 
     /**
@@ -73,10 +72,10 @@
     /**
      * Indicates whether requests need a key. Routes may exempt their requests.
      *
-     * @return whether the configuration has client accounts
+     * @return whether the configuration names client accounts, even if it names none of them any more
      */
     public boolean needsKeys() {
-        return !configuration.accounts().isEmpty();
+        return configuration.accounts().isPresent();
     }
 
     /**
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
@@ -152,7 +152,7 @@
                         new FleetService(SERVICE, "/healthz", 10, Optional.empty()),
                         new FleetService(ENGINES, "/healthz", 10, Optional.of(ENGINE))),
                 LIMITS,
-                List.of(new FleetAccount(new AccountName("oaxaca"), List.of("key-1"), 1)));
+                Optional.of(List.of(new FleetAccount(new AccountName("oaxaca"), List.of("key-1"), 1))));
     }
 
     /** Makes this gateway and another one send each other load reports. */
--- a/replication/src/test/java/org/bamboohatch/replication/simulation/SimulatedCluster.java
+++ b/replication/src/test/java/org/bamboohatch/replication/simulation/SimulatedCluster.java
@@ -236,6 +236,7 @@
             if (replica.isUp() && !replica.paused) {
                 deliverMessages(replica);
                 requestJoin(replica);
+                checkReads(replica);
                 replica.step();
                 if (replica.isUp()) {
                     checkReplica(replica);
@@ -302,7 +303,8 @@
         checkReads(replica);
     }
 
-    /** Answers confirmed reads, which must include every entry that was acknowledged when the read was requested. */
+    /**
+     * Answers confirmed reads, also between messages and the application of what they commit. They must include every entry that was acknowledged when the read was requested. */
     private void checkReads(SimulatedReplica replica) {
         long now = replica.now();
         reads.removeIf(read -> {
