Let registrations of services that are not named take no target's place

What callers saw: none of the requests on an added route was served, though its three targets were sound and sent heartbeats.

Cause: the registry ended the leases of all others at an announced address without a look at the service, and let the targets that run there yield to the later start for as long as it was remembered, ten minutes, though its lease had expired after three seconds. Under the name of a sound target such a heartbeat replaced its entry, or recorded a departure for it.

Ruled out: gateways (they follow what control says).

Change: heartbeats for services that are not named are kept apart and used if the configuration names the service within a lease. They are still answered, since a service may be named a moment later. A target yields its address to a later start only until the lease of that one expires.

Compression and parsing of the configuration were in two modules; they moved to FleetText, as control reads it now as well.

--- a/control/src/main/java/org/bamboohatch/control/membership/TargetRegistry.java
+++ b/control/src/main/java/org/bamboohatch/control/membership/TargetRegistry.java
@@ -52,7 +52,12 @@
      * @param version version of the registry at the last change of the target
      * @param departed whether the target has left, was deregistered or replaced, or let its lease expire
      */
-    private record Lease(TargetAnnouncement announcement, long renewedAt, long version, boolean departed) {}
+    private record Lease(TargetAnnouncement announcement, long renewedAt, long version, boolean departed) {
+
+        boolean hasExpired(long now) {
+            return now - renewedAt > LEASE_MS;
+        }
+    }
 
     /**
      * A departure that the registry knows.
@@ -129,7 +134,7 @@
         if (departure != null && departure.departure().precludes(announcement)) {
             return false;
         }
-        if (known != null && isStale(announcement, known) || yieldsAddress(announcement)) {
+        if (known != null && isStale(announcement, known) || yieldsAddress(announcement, now)) {
             return false;
         }
         boolean changed = known == null
@@ -160,15 +165,31 @@
         return announcement.sequence() > 0 && announcement.sequence() <= latest.sequence();
     }
 
+    /**
+     * Indicates whether an announcement comes from a target that the registry knows, in the service that it knows it in.
+     *
+     * @param announcement the announcement
+     * @return whether the target has a lease of the same incarnation and service
+     */
+    public boolean isRenewal(TargetAnnouncement announcement) {
+        Lease known = leases.get(announcement.target());
+        return known != null
+                && !known.departed()
+                && known.announcement().incarnation() == announcement.incarnation()
+                && known.announcement().service().equals(announcement.service());
+    }
+
     /**
      * Resolves conflicts over the address of an announced target. If another target at the address has a later
-     * incarnation, the announced target yields; otherwise the leases of the other targets at the address are ended.
-     * An announcement without a sequence number does neither.
+     * incarnation, the announced target yields, unless the lease of the other one has expired, as it may never have run
+     * there; otherwise the leases of the other targets at the address are ended. An announcement without a sequence number
+     * does neither.
      *
      * @param announcement the announcement
+     * @param now current monotonic time, in milliseconds
      * @return whether the announced target yields the address
      */
-    private boolean yieldsAddress(TargetAnnouncement announcement) {
+    private boolean yieldsAddress(TargetAnnouncement announcement, long now) {
         if (announcement.sequence() == 0) {
             return false;
         }
@@ -176,7 +197,9 @@
             TargetAnnouncement other = entry.getValue().announcement();
             boolean sameAddress = other.address().equals(announcement.address())
                     && !other.target().equals(announcement.target());
-            if (sameAddress && other.incarnation() > announcement.incarnation()) {
+            if (sameAddress
+                    && other.incarnation() > announcement.incarnation()
+                    && !entry.getValue().hasExpired(now)) {
                 return true;
             }
             if (sameAddress && !entry.getValue().departed()) {
@@ -235,7 +258,7 @@
         boolean changed = false;
         for (Map.Entry<TargetName, Lease> entry : leases.entrySet()) {
             Lease lease = entry.getValue();
-            if (!lease.departed() && now - lease.renewedAt() > LEASE_MS) {
+            if (!lease.departed() && lease.hasExpired(now)) {
                 version++;
                 entry.setValue(new Lease(lease.announcement(), lease.renewedAt(), version, true));
                 changed = true;
--- a/control/src/main/java/org/bamboohatch/control/server/FleetRequests.java
+++ b/control/src/main/java/org/bamboohatch/control/server/FleetRequests.java
@@ -97,7 +97,8 @@
 
     /**
      * Renews the lease of a target that gateways call directly. The announcement that it leaves is acknowledged once it is
-     * recorded and every live gateway applies it.
+     * recorded and every live gateway applies it. An announcement for a service that the configuration does not name changes
+     * nothing, unless it renews a lease.
      *
      * @param register the announcement
      * @param ledgerTime supplies the current ledger time, in milliseconds
@@ -106,6 +107,12 @@
     void register(Register register, LongSupplier ledgerTime, Exchange exchange) {
         long now = ReplicaService.now();
         TargetAnnouncement target = register.announcement();
+        if (!session.isNamed(target.service()) && !session.leader().targets().isRenewal(target)) {
+            session.leader().unassigned().retain(target, now);
+            LOGGER.debug("targets: {} is of service {}, which is not named", target.target(), target.service());
+            exchange.end(new ControlReply.Registered(settings.advertisedAddress()));
+            return;
+        }
         boolean changed = session.leader().targets().announce(target, now);
         if (changed) {
             LOGGER.info(
--- a/control/src/main/java/org/bamboohatch/control/server/LeaderSession.java
+++ b/control/src/main/java/org/bamboohatch/control/server/LeaderSession.java
@@ -8,7 +8,9 @@
 import org.bamboohatch.control.ControlSettings;
 import org.bamboohatch.control.state.ControlStateMachine;
 import org.bamboohatch.control.state.TargetDeparture;
+import org.bamboohatch.kernel.id.ServiceName;
 import org.bamboohatch.protocol.message.ControlReply;
+import org.bamboohatch.protocol.message.TargetAnnouncement;
 import org.bamboohatch.protocol.transport.Network;
 import org.bamboohatch.replication.consensus.Role;
 import org.bamboohatch.replication.driver.ReplicaService;
@@ -39,6 +41,8 @@
     /** Replies held until other processes have applied a change. */
     private final PendingReplies awaitingAcknowledgement = new PendingReplies();
 
+    private final NamedServices services;
+
     /** State of the current term, or null if this process does not lead. */
     private LeaderState leader;
 
@@ -58,6 +62,7 @@
         this.replica = replica;
         this.stateMachine = stateMachine;
         this.network = network;
+        this.services = new NamedServices(stateMachine.fleet());
         stateMachine.onDeparture(this::onDepartureApplied);
     }
 
@@ -163,6 +168,22 @@
             network.timeline()
                     .record(settings.host().value(), "leads", "term " + leader.term(), System.currentTimeMillis());
         }
+        if (leader != null && services.refresh()) {
+            long now = ReplicaService.now();
+            List<TargetAnnouncement> assigned = leader.unassigned().release(services::contains, now);
+            assigned.forEach(announcement -> leader.targets().announce(announcement, now));
+            releaseChanged();
+        }
+    }
+
+    /**
+     * Indicates whether the configuration names a service.
+     *
+     * @param service name of the service
+     * @return true as well while there is no configuration
+     */
+    boolean isNamed(ServiceName service) {
+        return services.contains(service);
     }
 
     /** Returns the addresses of all control processes, voters and learners. */
--- a/control/src/main/java/org/bamboohatch/control/server/LeaderState.java
+++ b/control/src/main/java/org/bamboohatch/control/server/LeaderState.java
@@ -6,6 +6,7 @@
 import org.bamboohatch.control.membership.GatewayRegistry;
 import org.bamboohatch.control.membership.SubscriberRegistry;
 import org.bamboohatch.control.membership.TargetRegistry;
+import org.bamboohatch.control.membership.UnassignedTargets;
 import org.bamboohatch.control.state.TargetDeparture;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.protocol.message.ControlReply.PlacementOrder;
@@ -17,6 +18,8 @@
 
     private final TargetRegistry targets;
 
+    private final UnassignedTargets unassigned = new UnassignedTargets();
+
     private final SubscriberRegistry subscribers;
 
     private final GatewayRegistry gateways;
@@ -55,6 +58,10 @@
         return targets;
     }
 
+    UnassignedTargets unassigned() {
+        return unassigned;
+    }
+
     GatewayRegistry gateways() {
         return gateways;
     }
--- a/control/src/test/java/org/bamboohatch/control/membership/TargetRegistryTest.java
+++ b/control/src/test/java/org/bamboohatch/control/membership/TargetRegistryTest.java
@@ -150,4 +150,15 @@
                 .isFalse();
         assertThat(registry.live()).extracting(TargetAnnouncement::target).containsExactly(new TargetName("new"));
     }
+
+    /** A target that was announced at the address and is not heard of again may never have run there. */
+    @Test
+    void expiredLeaseOfLaterIncarnationDoesNotBlockAnAddress() {
+        registry.announce(targetWithSequence("sound", "127.0.0.1:1", 100, 5, false), 0);
+        registry.announce(targetWithSequence("silent", "127.0.0.1:1", 200, 1, false), 10);
+        registry.announce(targetWithSequence("sound", "127.0.0.1:1", 100, 6, false), 10 + TargetRegistry.LEASE_MS);
+        assertThat(registry.live()).extracting(TargetAnnouncement::target).containsExactly(new TargetName("silent"));
+        registry.announce(targetWithSequence("sound", "127.0.0.1:1", 100, 7, false), 11 + TargetRegistry.LEASE_MS);
+        assertThat(registry.live()).extracting(TargetAnnouncement::target).containsExactly(new TargetName("sound"));
+    }
 }
--- a/gateway/src/main/java/org/bamboohatch/gateway/configuration/FleetStore.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/configuration/FleetStore.java
@@ -3,8 +3,6 @@
 import javax.inject.Inject;
 import javax.inject.Singleton;
 
-import java.io.ByteArrayInputStream;
-import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -12,7 +10,6 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import java.util.zip.InflaterInputStream;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -247,17 +244,11 @@
         if (text == null || text.version() <= copy.configurationVersion()) {
             return Optional.empty();
         }
-        FleetFormat format = formats.find(text.format())
-                .orElseThrow(() -> new IllegalStateException("no plug-in reads the format " + text.format()));
-        try (InflaterInputStream inflated = new InflaterInputStream(new ByteArrayInputStream(text.content()))) {
-            Result<FleetConfiguration, List<String>> result = format.read(inflated.readAllBytes());
-            if (result instanceof Result.Success<FleetConfiguration, List<String>> success) {
-                return Optional.of(new RouteTable(success.value()));
-            }
-            LOGGER.error("fleet: configuration {} cannot be read: {}", text.version(), result);
-        } catch (IOException damaged) {
-            LOGGER.error("fleet: configuration {} is damaged: {}", text.version(), damaged.getMessage());
+        Result<FleetConfiguration, List<String>> result = text.parse(formats);
+        if (result instanceof Result.Success<FleetConfiguration, List<String>> success) {
+            return Optional.of(new RouteTable(success.value()));
         }
+        LOGGER.error("fleet: configuration {} cannot be read: {}", text.version(), result);
         return Optional.empty();
     }
 }
