Continue to poll control after a reply that cannot be applied

What callers would see: a gateway that follows neither configurations nor targets any more and refuses requests with keys from then on.

Cause: the next poll was scheduled behind the use of the reply, in the same callback. An exception in that use, such as that of a listener, ended the chain of polls for good; urgent polls went on and failed in the same way.

Change: the exception is logged with the version of the membership, the copy does not count as confirmed, and the next poll is sent.

Test: FleetStoreTest.aReplyThatCannotBeAppliedDoesNotEndThePolls, failed before: no poll came within its 30 s.

--- a/gateway/src/main/java/org/bamboohatch/gateway/configuration/FleetStore.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/configuration/FleetStore.java
@@ -133,15 +133,33 @@
         control.call(pollRequest(copy, false), POLL_TIMEOUT).whenComplete((reply, problem) -> {
             boolean answered = problem == null && reply instanceof Changes;
             logReachability(answered, reply);
-            if (answered) {
-                applyReply((Changes) reply, copy, sentAt);
-            } else {
+            boolean applied = answered && tryApplyReply((Changes) reply, copy, sentAt);
+            if (!answered) {
                 control.addAddresses(seeds.get());
             }
-            network.after(Duration.ofMillis(answered ? 0 : RETRY_DELAY_MS), this::poll);
+            network.after(Duration.ofMillis(applied ? 0 : RETRY_DELAY_MS), this::poll);
         });
     }
 
+    /**
+     * Applies the reply to a poll. A defect in its use must not end the polls; the age of the copy then shows that it is not
+     * current.
+     *
+     * @param changes the changes since the copy
+     * @param copy the copy that the poll was based on
+     * @param sentAt time at which the poll was sent
+     * @return whether the reply was applied without an exception
+     */
+    private boolean tryApplyReply(Changes changes, FleetView copy, GatewayClock sentAt) {
+        try {
+            applyReply(changes, copy, sentAt);
+            return true;
+        } catch (RuntimeException defect) {
+            LOGGER.error("fleet: membership {}.{} is not applied", changes.epoch(), changes.version(), defect);
+            return false;
+        }
+    }
+
     /**
      * Creates the poll for the changes since a copy.
      *
@@ -175,7 +193,7 @@
         control.call(pollRequest(copy, true), URGENT_POLL_TIMEOUT).whenComplete((reply, problem) -> {
             urgentPollPending = false;
             if (problem == null && reply instanceof Changes changes) {
-                applyReply(changes, copy, now);
+                tryApplyReply(changes, copy, now);
             }
         });
     }
--- a/gateway/src/test/java/org/bamboohatch/gateway/configuration/FleetStoreTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/configuration/FleetStoreTest.java
@@ -19,6 +19,8 @@
 import org.bamboohatch.protocol.transport.FrameServer;
 import org.bamboohatch.protocol.transport.Network;
 import org.bamboohatch.protocol.transport.RequestHandler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -48,19 +50,21 @@
         }
     }
 
-    /**
-     * Guards against a gateway that rejects requests although control is reachable: after a suspension of 4.6 s its copy
-     * stayed old for another 0.7 s, because control held its regular poll until there were changes.
-     */
-    @Test
-    void anUrgentPollIsSentForAnOldCopy() throws Exception {
+    private Network network;
+
+    private FrameServer server;
+
+    private FleetStore store;
+
+    @BeforeEach
+    void start() throws Exception {
         int port;
         try (ServerSocket free = new ServerSocket(0)) {
             port = free.getLocalPort();
         }
         String address = "127.0.0.1:" + port;
-        Network network = new Network(1, new Timeline("test", 16));
-        FrameServer server = new FrameServer(network, address, new FakeControl());
+        network = new Network(1, new Timeline("test", 16));
+        server = new FrameServer(network, address, new FakeControl());
         server.start();
         GatewaySettings settings = new GatewaySettings(
                 new HostName("gateway-1"),
@@ -77,7 +81,22 @@
                 60_000,
                 1_000);
         ControlClient control = new ControlClient(network, List.of(address), Duration.ofSeconds(5));
-        FleetStore store = new FleetStore(settings, control, network, () -> List.of(address));
+        store = new FleetStore(settings, control, network, () -> List.of(address));
+    }
+
+    @AfterEach
+    void stop() {
+        store.stop();
+        server.stop();
+        network.stop();
+    }
+
+    /**
+     * Guards against a gateway that rejects requests although control is reachable: after a suspension of 4.6 s its copy
+     * stayed old for another 0.7 s, because control held its regular poll until there were changes.
+     */
+    @Test
+    void anUrgentPollIsSentForAnOldCopy() throws Exception {
         store.start();
         PendingPoll first = nextPoll(false);
         first.reply();
@@ -90,9 +109,20 @@
         }
         assertThat(store.view().version()).isEqualTo(1);
         regular.reply();
-        store.stop();
-        server.stop();
-        network.stop();
+    }
+
+    /** Guards against a gateway that follows control no more after a reply in whose use it has a defect. */
+    @Test
+    void aReplyThatCannotBeAppliedDoesNotEndThePolls() throws Exception {
+        store.onChange(view -> {
+            throw new IllegalStateException("an entry that cannot be used");
+        });
+        store.start();
+        nextPoll(false).reply();
+        PendingPoll next = nextPoll(false);
+        assertThat(store.ageMillis(GatewayClock.read())).isGreaterThan(1_000_000);
+        next.reply();
+        nextPoll(false).reply();
     }
 
     private PendingPoll nextPoll(boolean urgent) throws InterruptedException {
