Treat an address that cannot be parsed as one that cannot be reached

By the source, the thread of a replica or of an entry's dispatcher would end, and the process with it, again after each start for as long as the entry is there.

Cause: addresses of other processes were parsed where a connection is opened, and the exception went to whoever needed the connection.

Change: parseAnnounced returns no address for a malformed one, and opening a connection to it fails like any other. Control refuses announcements without a usable address, which covers agents as well. Gateways leave out load reports to such addresses.

--- a/control/src/main/java/org/bamboohatch/control/server/ControlServer.java
+++ b/control/src/main/java/org/bamboohatch/control/server/ControlServer.java
@@ -36,6 +36,7 @@
 import org.bamboohatch.protocol.message.ControlRequest.Register;
 import org.bamboohatch.protocol.message.ControlRequest.ReplaceFleet;
 import org.bamboohatch.protocol.message.Message;
+import org.bamboohatch.protocol.message.TargetAnnouncement;
 import org.bamboohatch.protocol.transport.Exchange;
 import org.bamboohatch.protocol.transport.Network;
 import org.bamboohatch.protocol.transport.RequestHandler;
@@ -150,11 +151,18 @@
             propose(request, exchange);
         } else if (request instanceof ReplaceFleet replace) {
             fleetRequests.replace(replace, this::ledgerTime, exchange);
+        } else if (request instanceof Announce announce && !hasAddress(announce.announcement())
+                || request instanceof Register register && !hasAddress(register.announcement())) {
+            exchange.end(new ControlReply.Invalid(List.of("the address is not a host and a port")));
         } else if (request instanceof ControlRequest other) {
             replica.execute(() -> handleAsLeader(other, exchange));
         }
     }
 
+    private static boolean hasAddress(TargetAnnouncement announcement) {
+        return Network.parseAnnounced(announcement.address()).isPresent();
+    }
+
     private static boolean isLedgerCommand(Message request) {
         return request instanceof ControlRequest.BeginRun
                 || request instanceof ControlRequest.AbandonRun
--- a/control/src/test/java/org/bamboohatch/control/server/TargetRegistrationTest.java
+++ b/control/src/test/java/org/bamboohatch/control/server/TargetRegistrationTest.java
@@ -174,19 +174,24 @@
 
     private void register(String name, ServiceName service, long incarnation, long sequence, boolean leaving)
             throws Exception {
-        TargetAnnouncement announcement = new TargetAnnouncement(
+        assertThat(call(new Register(announcement(name, service, ADDRESS, incarnation, sequence, leaving))))
+                .isInstanceOf(ControlReply.Registered.class);
+    }
+
+    private static TargetAnnouncement announcement(
+            String name, ServiceName service, String address, long incarnation, long sequence, boolean leaving) {
+        return new TargetAnnouncement(
                 new TargetName(name),
                 service,
                 new HostName("host"),
                 new ZoneName("zone"),
-                ADDRESS,
+                address,
                 incarnation,
                 List.of(),
                 0,
                 1,
                 leaving,
                 sequence);
-        assertThat(call(new Register(announcement))).isInstanceOf(ControlReply.Registered.class);
     }
 
     private void deregister(String name) throws Exception {
@@ -250,4 +255,12 @@
         register("deregistered", NAMED, 300, 1, false);
         assertThat(liveTargets()).containsExactly("deregistered");
     }
+
+    @Test
+    void anAddressThatCannotBeUsedIsRefused() throws Exception {
+        TargetAnnouncement odd = announcement("odd", NAMED, "127.0.0.1:99999", 100, 1, false);
+        assertThat(call(new Register(odd))).isInstanceOf(ControlReply.Invalid.class);
+        assertThat(call(new ControlRequest.Announce(odd, 0))).isInstanceOf(ControlReply.Invalid.class);
+        assertThat(liveTargets()).isEmpty();
+    }
 }
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
@@ -218,7 +218,7 @@
         Set<InetSocketAddress> present = new HashSet<>();
         for (String address : gateways) {
             if (!address.equals(settings.exchange())) {
-                present.add(Network.parse(address));
+                Network.parseAnnounced(address).ifPresent(present::add);
             }
         }
         limits.setGateways(gateways.size());
--- a/gateway/src/main/java/org/bamboohatch/gateway/target/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/TargetConnectionPool.java
@@ -7,6 +7,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -136,6 +137,12 @@
     }
 
     private void open(TargetAddress address, int connectTimeoutMillis, Consumer<HttpTargetConnection> onOpened) {
+        Optional<InetSocketAddress> remote = Network.parseAnnounced(address.address());
+        if (remote.isEmpty()) {
+            LOGGER.warn("target: {} has the malformed address {}", address.target(), address.address());
+            onOpened.accept(null);
+            return;
+        }
         HttpTargetConnection connection = new HttpTargetConnection(address, requestIdField, this);
         Bootstrap bootstrap = new Bootstrap();
         bootstrap.group(loop);
@@ -151,8 +158,7 @@
                 channel.pipeline().addLast(connection);
             }
         });
-        InetSocketAddress remote = Network.parse(address.address());
-        ChannelFuture connecting = bootstrap.connect(remote);
+        ChannelFuture connecting = bootstrap.connect(remote.get());
         connecting.addListener(done -> onOpened.accept(done.isSuccess() ? connection : null));
     }
 
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/ForwardingTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/ForwardingTest.java
@@ -3,11 +3,14 @@
 import java.io.InputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.bamboohatch.gateway.forward.FakeTarget.answer;
@@ -303,4 +306,22 @@
         }
         return new String(stream.readNBytes(length), StandardCharsets.UTF_8);
     }
+
+    /** Guards against requests whose connection is closed because a target announced an address that cannot be used. */
+    @ParameterizedTest
+    @ValueSource(strings = {"127.0.0.1:99999", "127.0.0.1:0", "127.0.0.1:", "127.0.0.1", ""})
+    void aTargetWithAMalformedAddressIsLeftOut(String address) throws Exception {
+        try (FakeTarget sound = new FakeTarget(ForwardingTest::serve);
+                GatewayHarness gateway = new GatewayHarness()) {
+            gateway.applyAddresses(List.of(address));
+            assertThat(gateway.call(request("POST", "/order/x", "a1", "", "crates")))
+                    .startsWith("HTTP/1.1 503")
+                    .contains("not-run");
+            gateway.applyAddresses(List.of(address, sound.address()));
+            for (int number = 0; number < 4; number++) {
+                assertThat(gateway.call(request("POST", "/order/x", "b" + number, "", "crates")))
+                        .endsWith("body of b" + number);
+            }
+        }
+    }
 }
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
@@ -8,6 +8,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -115,10 +116,14 @@
     }
 
     void apply(FakeTarget... targets) throws Exception {
+        applyAddresses(Arrays.stream(targets).map(FakeTarget::address).toList());
+    }
+
+    void applyAddresses(List<String> addresses) throws Exception {
         Map<TargetName, TargetAnnouncement> announcements = new HashMap<>();
-        for (int number = 0; number < targets.length; number++) {
-            announce(announcements, SERVICE, new TargetName("target-" + number), targets[number].address());
-            announce(announcements, ENGINES, new TargetName("engine-" + number), targets[number].address());
+        for (int number = 0; number < addresses.size(); number++) {
+            announce(announcements, SERVICE, new TargetName("target-" + number), addresses.get(number));
+            announce(announcements, ENGINES, new TargetName("engine-" + number), addresses.get(number));
         }
         view = new FleetView(Optional.of(new RouteTable(configuration())), 1, 1, announcements, List.of());
         loop.submit(() -> forwarder.apply(view)).sync();
--- a/protocol/src/main/java/org/bamboohatch/protocol/transport/Connection.java
+++ b/protocol/src/main/java/org/bamboohatch/protocol/transport/Connection.java
@@ -1,8 +1,10 @@
 package org.bamboohatch.protocol.transport;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -69,10 +71,15 @@
      * @param network network that provides the threads of the connection
      * @param address address of the server, host and port
      * @param statusListener receives the status messages in the server's heartbeat replies
-     * @return completed with the connection when the server has replied to a heartbeat
+     * @return completed with the connection when the server has replied to a heartbeat, exceptionally if it cannot be opened
      */
     static CompletableFuture<Connection> open(Network network, String address, Consumer<Message> statusListener) {
         Connection connection = new Connection(network, statusListener);
+        Optional<InetSocketAddress> remote = Network.parseAnnounced(address);
+        if (remote.isEmpty()) {
+            connection.opened.completeExceptionally(new ConnectionLostException("malformed address " + address));
+            return connection.opened;
+        }
         Bootstrap bootstrap = new Bootstrap();
         bootstrap.group(network.group());
         bootstrap.channel(NioSocketChannel.class);
@@ -86,7 +93,7 @@
                 created.pipeline().addLast(connection.new Receiver());
             }
         });
-        ChannelFuture connecting = bootstrap.connect(Network.parse(address));
+        ChannelFuture connecting = bootstrap.connect(remote.get());
         connecting.addListener(done -> {
             if (done.isSuccess()) {
                 connection.channel = connecting.channel();
--- a/protocol/src/main/java/org/bamboohatch/protocol/transport/Network.java
+++ b/protocol/src/main/java/org/bamboohatch/protocol/transport/Network.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoopGroup;
@@ -45,14 +46,30 @@
      *
      * @param address host and port, such as {@code 127.0.0.1:7000}
      * @return the socket address
-     * @throws IndexOutOfBoundsException if the address has no port
-     * @throws IllegalArgumentException if the port is invalid
+     * @throws IllegalArgumentException if the address has no host, no port or one that is not from 0 to 65,535
      */
     public static InetSocketAddress parse(String address) {
         int colon = address.lastIndexOf(':');
+        if (colon <= 0) {
+            throw new IllegalArgumentException("no host and port: " + address);
+        }
         return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
     }
 
+    /**
+     * Parses the address of a server that another process has announced.
+     *
+     * @param address host and port
+     * @return the socket address, empty if it is malformed or no connection can be made to its port
+     */
+    public static Optional<InetSocketAddress> parseAnnounced(String address) {
+        try {
+            return Optional.of(parse(address)).filter(parsed -> parsed.getPort() > 0);
+        } catch (IllegalArgumentException malformed) {
+            return Optional.empty();
+        }
+    }
+
     EventLoopGroup group() {
         return group;
     }
