Lose a response whose connection was reset while the request was written

What callers would see: a truncated response that looks complete. A target answers early, without a length, and resets the connection while the rest of the request is on its way (a remark of the review, by the source).

Cause: only a read error marked the connection as failed. If a write meets the reset, the reads that follow see the plain end of the connection, which completes a response without a length. And a request that was written to a connection after its end had been reported was never answered: its write failed, and nothing else would come.

Change: a failed write marks the connection as failed and ends it.

Tests: HttpTargetConnectionTest, two of its four cases failed without the listener of the write.

--- a/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
@@ -77,7 +77,7 @@
     /** Whether the connection has carried a request without an id. */
     private boolean carriedUnidentified;
 
-    /** Whether the connection failed with an exception; the end of the connection then does not complete a response. */
+    /** Whether reading or writing failed; the end of the connection then does not complete a response. */
     private boolean failed;
 
     /** Time for which the target keeps an idle connection open, in milliseconds; zero if it reports none. */
@@ -161,6 +161,29 @@
                 headers,
                 io.netty.handler.codec.http.EmptyHttpHeaders.INSTANCE);
         requestWrite = channel.writeAndFlush(request);
+        requestWrite.addListener(written -> {
+            if (!written.isSuccess()) {
+                onWriteFailed(written.cause());
+            }
+        });
+    }
+
+    /**
+     * Closes the connection. A reset that a write has met is not reported to the reads that follow, which only see the end of
+     * the connection, so it must not complete a response.
+     *
+     * @param cause why the request was not written
+     */
+    private void onWriteFailed(Throwable cause) {
+        failed = true;
+        if (!(cause instanceof IOException)) {
+            pool.logUnexpectedError(cause);
+        }
+        if (channel.isActive()) {
+            channel.close();
+        } else {
+            loseResponse(LossCause.RESET);
+        }
     }
 
     /** Cancels the request in progress by closing the connection, so that the target can detect the cancellation. */
@@ -182,7 +205,12 @@
         channel.close();
     }
 
-    boolean isOpen() {
+    /**
+     * Indicates whether a request can be sent on the connection.
+     *
+     * @return whether neither side has closed it
+     */
+    public boolean isOpen() {
         return channel.isActive();
     }
 
--- /dev/null
+++ b/gateway/src/test/java/org/bamboohatch/gateway/target/HttpTargetConnectionTest.java
@@ -0,0 +1,135 @@
+package org.bamboohatch.gateway.target;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.util.ReferenceCountUtil;
+import org.bamboohatch.kernel.id.TargetName;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Connections that end while the request is written. */
+class HttpTargetConnectionTest {
+
+    private static final String UNFRAMED = "HTTP/1.1 200 OK\r\nRequest-Id: a1\r\n\r\npart of the bo";
+
+    private static final String FRAMED = "HTTP/1.1 413 Too large\r\nRequest-Id: a1\r\nContent-Length: 4\r\n\r\nlong";
+
+    private final TargetAddress address = new TargetAddress(new TargetName("target"), 1, "127.0.0.1:9");
+
+    private final TargetConnectionPool pool =
+            new TargetConnectionPool(null, "Request-Id", (target, head, requestSentAt) -> {});
+
+    private final HttpTargetConnection connection = new HttpTargetConnection(address, "Request-Id", pool);
+
+    private final SlowWrites writes = new SlowWrites();
+
+    private final EmbeddedChannel channel =
+            new EmbeddedChannel(writes, connection.new UnrelatedBytesLimit(), new HttpClientCodec(), connection);
+
+    private final List<String> events = new ArrayList<>();
+
+    /** Holds writes back, as a socket whose buffer is full. */
+    private static final class SlowWrites extends ChannelOutboundHandlerAdapter {
+
+        private final List<ChannelPromise> pending = new ArrayList<>();
+
+        @Override
+        public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+            ReferenceCountUtil.release(message);
+            pending.add(promise);
+        }
+
+        /** Fails the writes and closes the connection, in the order of the socket transport. */
+        void reset(EmbeddedChannel closed) {
+            pending.forEach(promise -> promise.tryFailure(new IOException("Broken pipe")));
+            closed.close();
+            closed.runPendingTasks();
+        }
+    }
+
+    /** Records how the response ends. */
+    private final class Events implements ResponseListener {
+
+        @Override
+        public void onHead(HttpResponse response) {
+            events.add(String.valueOf(response.status().code()));
+        }
+
+        @Override
+        public void onContent(ByteBuf part) {
+            // Only the end is checked.
+        }
+
+        @Override
+        public void onEnd() {
+            events.add("complete");
+        }
+
+        @Override
+        public void onLost(LossCause cause) {
+            events.add("lost");
+        }
+    }
+
+    private void send() {
+        HttpHeaders headers = new DefaultHttpHeaders().set("Request-Id", "a1");
+        connection.send(HttpMethod.POST, "/x", headers, new byte[100], new Events());
+    }
+
+    private void receive(String text) {
+        ByteBuf bytes = Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
+        channel.writeInbound(bytes);
+    }
+
+    /** Guards against a truncated response that is taken for complete because a write, not a read, met the reset. */
+    @Test
+    void aResponseWithoutALengthIsLostIfAWriteMeetsTheReset() {
+        send();
+        receive(UNFRAMED);
+        writes.reset(channel);
+        assertThat(events).containsExactly("200", "lost");
+    }
+
+    @Test
+    void aResponseWithoutALengthEndsWithItsConnection() {
+        send();
+        receive(UNFRAMED);
+        channel.close();
+        channel.runPendingTasks();
+        assertThat(events).containsExactly("200", "complete");
+    }
+
+    @Test
+    void anEarlyResponseWithALengthIsCompleteInSpiteOfTheReset() {
+        send();
+        receive(FRAMED);
+        writes.reset(channel);
+        assertThat(events).containsExactly("413", "complete");
+    }
+
+    /** Guards against a request that waits until its deadline on a connection that had ended before. */
+    @Test
+    void aRequestOnAConnectionThatHasEndedIsLostAtOnce() {
+        channel.close();
+        channel.runPendingTasks();
+        HttpHeaders headers = new DefaultHttpHeaders().set("Request-Id", "a1");
+        connection.send(HttpMethod.POST, "/x", headers, new byte[100], new Events());
+        writes.reset(channel);
+        assertThat(events).containsExactly("lost");
+    }
+}
