Send a request on another connection if its own has ended before the send

Requests that must not be repeated were given up.

Cause: a request is sent in a task of its own, behind the input that has arrived, and that input may be the end of its connection. Nothing looked at the connection again.

Change: a connection that has ended is replaced once for each attempt; a second time the target counts as unreachable. Nothing was sent, so this is no retry and costs no budget.

--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardedRequest.java
@@ -156,6 +156,10 @@
             }
             return;
         }
+        connect(attempt, now);
+    }
+
+    private void connect(ForwardingAttempt attempt, long now) {
         long remainingMillis = Math.max(1, admitted.deadline() - now);
         int connectTimeoutMillis = (int) Math.min(forwarder.dispatcher().connectTimeoutMillis(demand), remainingMillis);
         boolean nonRepeatable = !admitted.route().mayRepeat();
@@ -211,6 +215,13 @@
             withdraw(attempt, now);
             return;
         }
+        if (!connection.isOpen() && attempt.beginReconnect()) {
+            connect(attempt, now);
+            return;
+        } else if (!connection.isOpen()) {
+            onConnected(attempt, null);
+            return;
+        }
         history.exclude(attempt.target().target());
         history.recordSend();
         forwarder.targets().recordDispatch(attempt.target(), now);
@@ -343,10 +354,6 @@
         onLost(attempt, "silent for " + idleMillis + " ms");
     }
 
-    long idleTimeoutMillis(ForwardingAttempt attempt, boolean streaming) {
-        return IdleTimeout.millis(demand, attempt.resources().placement(), streaming);
-    }
-
     void recordFailure(ForwardingAttempt attempt) {
         forwarder.targets().recordFailure(attempt.target(), GatewayClock.now());
     }
@@ -406,7 +413,8 @@
 
     /**
      * Ends the request without a complete response of a target. A response that has begun is aborted, so that the
-     * caller detects that it is incomplete; otherwise the error states whether the request may have run.
+     * caller detects that it is incomplete; otherwise the error states whether the request may have run. A refusal is sent only
+     * if no target has run it.
      *
      * @param now current time, in milliseconds
      * @param reason the reason, for the caller and the decision log
@@ -417,13 +425,6 @@
         giveUp(now, reason, refusal);
     }
 
-    /**
-     * Ends the request without a complete response of a target.
-     *
-     * @param now current time, in milliseconds
-     * @param reason the reason, for the caller and the decision log
-     * @param refusal the response if no target has run the request
-     */
     private void giveUp(long now, String reason, Refusal refusal) {
         if (ended) {
             return;
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardingAttempt.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardingAttempt.java
@@ -44,6 +44,9 @@
     /** Number of events that the request had received from other attempts when this one began. */
     private final long eventsBefore;
 
+    /** Whether a connection was closed before the request was sent. */
+    private boolean reconnecting;
+
     /** The connection, null until it is open. */
     private HttpTargetConnection connection;
 
@@ -119,6 +122,17 @@
         return eventsBefore;
     }
 
+    /**
+     * Records that the connection is replaced because it was closed before the request was sent.
+     *
+     * @return whether it is the first time
+     */
+    boolean beginReconnect() {
+        boolean first = !reconnecting;
+        reconnecting = true;
+        return first;
+    }
+
     boolean isEnded() {
         return mode == Mode.ENDED;
     }
@@ -166,7 +180,7 @@
     /** Reports a target that exceeded its idle timeout, and schedules the next check. */
     private void checkIdle() {
         long now = GatewayClock.now();
-        long timeoutMillis = forwarded.idleTimeoutMillis(this, mode == Mode.EVENTS);
+        long timeoutMillis = IdleTimeout.millis(forwarded.demand(), resources.placement(), mode == Mode.EVENTS);
         long remainingMillis = lastActivityAt + timeoutMillis - now;
         if (remainingMillis <= 0 && mode == Mode.DISCARD) {
             cancel();
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/StallTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/StallTest.java
@@ -3,6 +3,8 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicReference;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -61,6 +63,45 @@
         }
     }
 
+    /**
+     * Guards against requests that wait until their deadline because the target closed the connection between its choice and
+     * the send. The caller's request and the end of the connection are found in the same turn of the event loop.
+     */
+    @Test
+    void aRequestWhoseConnectionEndedBeforeTheSendIsSentOnAnother() throws Exception {
+        AtomicReference<CountDownLatch> stall = new AtomicReference<>();
+        Semaphore closed = new Semaphore(0);
+        FakeTarget.Script closingDuringStall = (received, connection) -> {
+            serve(received, connection);
+            if (received.id().startsWith("first")) {
+                stall.get().await();
+                connection.close();
+                closed.release();
+                return false;
+            }
+            return true;
+        };
+        try (FakeTarget target = new FakeTarget(closingDuringStall);
+                GatewayHarness gateway = new GatewayHarness(target)) {
+            for (int round = 0; round < 8; round++) {
+                stall.set(new CountDownLatch(1));
+                assertThat(gateway.call(request("POST", "/order/x", "first" + round, "", "crates")))
+                        .startsWith("HTTP/1.1 200");
+                CountDownLatch stallEnd = new CountDownLatch(1);
+                try (Socket caller = gateway.connect()) {
+                    gateway.stallUntil(stallEnd);
+                    caller.getOutputStream()
+                            .write(request("POST", "/order/x", "b" + round, "", "crates")
+                                    .getBytes(StandardCharsets.UTF_8));
+                    stall.get().countDown();
+                    closed.acquire();
+                    stallEnd.countDown();
+                    assertThat(GatewayHarness.readAll(caller.getInputStream())).endsWith("body of b" + round);
+                }
+            }
+        }
+    }
+
     /** Comments and bytes of an incomplete event keep the connection busy but are no progress. */
     @Test
     void aStreamThatSendsNoEventsIsResumedElsewhere() throws Exception {
