Test that an earlier refusal that comes again answers no other request

Other operators reported a faulty engine that wrote an earlier refusal once more on a kept connection: "not run" for requests that run, or a second run. At gateways this does not happen, with or without the request's id in the refusal: a response with another id, or without one on a connection that carried a request before, is discarded.

--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/ForwardingTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/ForwardingTest.java
@@ -324,4 +324,34 @@
             }
         }
     }
+
+    /**
+     * Guards against "not run" about a request that runs, and against a second run of it elsewhere: the refusal of an earlier
+     * request comes once more on a connection that is in use again.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"Request-Id: first\r\n", ""})
+    void anEarlierRefusalThatIsWrittenAgainIsNotTheAnswer(String idLine) throws Exception {
+        String refusal = "HTTP/1.1 503 Full\r\n" + idLine + "Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull";
+        FakeTarget.Script repeating = (received, connection) -> {
+            write(connection, refusal);
+            if (!received.id().equals("first")) {
+                TimeUnit.MILLISECONDS.sleep(20);
+                serve(received, connection);
+            }
+            return true;
+        };
+        try (FakeTarget target = new FakeTarget(repeating);
+                GatewayHarness gateway = new GatewayHarness(target)) {
+            assertThat(gateway.call(request("POST", "/order/x", "first", "", "crates")))
+                    .startsWith("HTTP/1.1 503")
+                    .contains("not-run");
+            for (int number = 0; number < 3; number++) {
+                assertThat(gateway.call(request("POST", "/order/x", "a" + number, "", "crates")))
+                        .startsWith("HTTP/1.1 200")
+                        .endsWith("body of a" + number);
+            }
+            assertThat(target.received).hasSize(4);
+        }
+    }
 }
