Log the first registration for a service that is not named

On-call engineers find in the log of control why a target gets no requests; repeated heartbeats add no lines. A configuration that was never set counts as one that names every service.

--- a/control/src/main/java/org/bamboohatch/control/membership/UnassignedTargets.java
+++ b/control/src/main/java/org/bamboohatch/control/membership/UnassignedTargets.java
@@ -38,15 +38,17 @@
      *
      * @param announcement the announcement
      * @param now current monotonic time, in milliseconds
+     * @return whether none of the target was retained
      */
-    public void retain(TargetAnnouncement announcement, long now) {
-        announcements.remove(announcement.target());
+    public boolean retain(TargetAnnouncement announcement, long now) {
+        boolean first = announcements.remove(announcement.target()) == null;
         announcements.put(announcement.target(), new Retained(announcement, now));
         if (announcements.size() > MAX_ANNOUNCEMENTS) {
             Iterator<TargetName> earliest = announcements.keySet().iterator();
             earliest.next();
             earliest.remove();
         }
+        return first;
     }
 
     /**
--- a/control/src/main/java/org/bamboohatch/control/server/FleetRequests.java
+++ b/control/src/main/java/org/bamboohatch/control/server/FleetRequests.java
@@ -108,8 +108,9 @@
         long now = ReplicaService.now();
         TargetAnnouncement target = register.announcement();
         if (!session.isNamed(target.service()) && !session.leader().targets().isRenewal(target)) {
-            session.leader().unassigned().retain(target, now);
-            LOGGER.debug("targets: {} is of service {}, which is not named", target.target(), target.service());
+            if (session.leader().unassigned().retain(target, now)) {
+                LOGGER.info("targets: {} is of service {}, which is not named", target.target(), target.service());
+            }
             exchange.end(new ControlReply.Registered(settings.advertisedAddress()));
             return;
         }
--- a/control/src/main/java/org/bamboohatch/control/server/NamedServices.java
+++ b/control/src/main/java/org/bamboohatch/control/server/NamedServices.java
@@ -14,6 +14,7 @@
 import org.bamboohatch.kernel.id.ServiceName;
 import org.bamboohatch.kernel.outcome.Result;
 import org.bamboohatch.kernel.plugin.Plugins;
+import org.bamboohatch.protocol.message.FleetText;
 
 /** The services that the fleet configuration names; used on the replica's thread only. */
 final class NamedServices {
@@ -44,16 +45,19 @@
             return false;
         }
         version = fleet.version();
-        names = Optional.empty();
-        Result<FleetConfiguration, List<String>> result = fleet.current().parse(formats);
+        names = Optional.ofNullable(fleet.current()).flatMap(this::read);
+        return true;
+    }
+
+    private Optional<Set<ServiceName>> read(FleetText text) {
+        Result<FleetConfiguration, List<String>> result = text.parse(formats);
         if (result instanceof Result.Success<FleetConfiguration, List<String>> success) {
-            names = Optional.of(success.value().services().stream()
+            return Optional.of(success.value().services().stream()
                     .map(FleetService::name)
                     .collect(Collectors.toUnmodifiableSet()));
-        } else {
-            LOGGER.error("targets: configuration {} cannot be read, all services count as named: {}", version, result);
         }
-        return true;
+        LOGGER.error("targets: configuration {} cannot be read, all services count as named: {}", version, result);
+        return Optional.empty();
     }
 
     /**
--- a/control/src/test/java/org/bamboohatch/control/membership/UnassignedTargetsTest.java
+++ b/control/src/test/java/org/bamboohatch/control/membership/UnassignedTargetsTest.java
@@ -32,8 +32,8 @@
 
     @Test
     void theLatestAnnouncementsOfNamedServicesAreReleased() {
-        targets.retain(announcement(1, "added", 1), 0);
-        targets.retain(announcement(1, "added", 2), 10);
+        assertThat(targets.retain(announcement(1, "added", 1), 0)).isTrue();
+        assertThat(targets.retain(announcement(1, "added", 2), 10)).isFalse();
         targets.retain(announcement(2, "other", 1), 10);
         assertThat(targets.release(service -> service.value().equals("added"), 20))
                 .containsExactly(announcement(1, "added", 2));
