Count services as named until a new leader has applied the log

By the source: a leader that has just been elected may not have applied a configuration yet that its predecessor acknowledged. A target of a service which that one added, and which announces in this moment that it leaves, would be acknowledged without a record, and gateways that know the target would go on sending to it. Until an entry of its term is applied, a leader now treats every announcement as that of a named service.

No test brings the moment about; those of TargetRegistrationTest pass.

--- a/control/src/main/java/org/bamboohatch/control/server/LeaderSession.java
+++ b/control/src/main/java/org/bamboohatch/control/server/LeaderSession.java
@@ -180,10 +180,11 @@
      * Indicates whether the configuration names a service.
      *
      * @param service name of the service
-     * @return true as well while there is no configuration
+     * @return true as well while there is no configuration, and until this leader has applied the one that its predecessor
+     *     may have acknowledged
      */
     boolean isNamed(ServiceName service) {
-        return services.contains(service);
+        return services.contains(service) || !isConfirmedSince(Long.MIN_VALUE);
     }
 
     /** Returns the addresses of all control processes, voters and learners. */
