--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/StallTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/StallTest.java
@@ -64,8 +64,8 @@
     }
 
     /**
-     * Guards against requests that wait until their deadline because the target closed the connection between its choice and
-     * the send. The caller's request and the end of the connection are found in the same turn of the event loop.
+     * Guards against requests that fail without having been sent, because the target closed the connection between its choice
+     * and the send. The caller's request and the end of the connection are found in the same turn of the event loop.
      */
     @Test
     void aRequestWhoseConnectionEndedBeforeTheSendIsSentOnAnother() throws Exception {
--- a/replication/src/test/java/org/bamboohatch/replication/simulation/SimulatedCluster.java
+++ b/replication/src/test/java/org/bamboohatch/replication/simulation/SimulatedCluster.java
@@ -304,7 +304,9 @@
     }
 
     /**
-     * Answers confirmed reads, also between messages and the application of what they commit. They must include every entry that was acknowledged when the read was requested. */
+     * Answers confirmed reads, also between messages and the application of what they commit. They must include every entry
+     * that was acknowledged when the read was requested.
+     */
     private void checkReads(SimulatedReplica replica) {
         long now = replica.now();
         reads.removeIf(read -> {
