Log how a response was framed, and whether it continued a stream

The line "answered" named the status of the last response only. Now "answered" and "lost" name status and framing, and "answered" the events that earlier targets sent. Lines of requests that were sent on, and of responses that end with their connection, count as failures, so that they are kept when ordinary ones are dropped. No change of logic.

--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardedRequest.java
@@ -13,6 +13,7 @@
 import org.bamboohatch.gateway.http.CallerRequestHandler;
 import org.bamboohatch.gateway.http.InboundRequest;
 import org.bamboohatch.gateway.http.Responder;
+import org.bamboohatch.gateway.target.BodyFraming;
 import org.bamboohatch.gateway.target.HttpTargetConnection;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.log.DecisionLog.Category;
@@ -408,7 +409,9 @@
         if (head.status().code() < TargetStatus.SERVER_ERROR) {
             forwarder.targets().recordSuccess(attempt.target());
         }
-        finish("answered", Category.ROUTINE, String.valueOf(head.status().code()));
+        // Other ends may hide a truncated response, so that their lines are not dropped along with the ordinary ones.
+        boolean usual = history.sends() == 1 && BodyFraming.of(head).isExplicit();
+        finish("answered", usual ? Category.ROUTINE : Category.FAILURE, attempt.describeResponse());
     }
 
     /**
@@ -484,6 +487,7 @@
         deadlineTimer.cancel(false);
         log.summary(event, category, detail)
                 .with("sends", history.sends())
+                .with("continuedFrom", current == null ? 0 : current.eventsBefore())
                 .with("events", framer.eventCount())
                 .with("firstMs", timeToFirstByteMillis)
                 .with("longestPauseMs", framer.longestInterTokenMillis())
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardingAttempt.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardingAttempt.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.concurrent.Future;
 import org.bamboohatch.gateway.GatewayClock;
+import org.bamboohatch.gateway.target.BodyFraming;
 import org.bamboohatch.gateway.target.HttpTargetConnection;
 import org.bamboohatch.gateway.target.LossCause;
 import org.bamboohatch.gateway.target.ResponseListener;
@@ -167,6 +168,24 @@
         }
     }
 
+    /**
+     * Returns how the response shows its end. The head of the response must have arrived.
+     *
+     * @return the framing of the body
+     */
+    private BodyFraming framing() {
+        return BodyFraming.of(response);
+    }
+
+    /**
+     * Describes the response for the decision log.
+     *
+     * @return its status and framing, for example {@code 200 CHUNKS}, empty if its head has not arrived
+     */
+    String describeResponse() {
+        return response == null ? "" : response.status().code() + " " + framing();
+    }
+
     /** Ends the attempt and releases its resources at the targets. */
     private void end() {
         mode = Mode.ENDED;
@@ -337,7 +356,7 @@
         if (modeAtEnd == Mode.DISCARD) {
             return;
         }
-        boolean whole = HttpTargetConnection.isFramed(response) && (modeAtEnd != Mode.EVENTS || firstEventAt > 0);
+        boolean whole = framing().isExplicit() && (modeAtEnd != Mode.EVENTS || firstEventAt > 0);
         if (whole && response.status().codeClass() == HttpStatusClass.SUCCESS) {
             recordGeneration(GatewayClock.now());
         }
@@ -350,7 +369,8 @@
      * @return whether its last event is incomplete, or it has none and nothing but the connection shows its end
      */
     private boolean endsTooEarly() {
-        return forwarded.framer().hasPartialEvent() || firstEventAt == 0 && !HttpTargetConnection.isFramed(response);
+        return forwarded.framer().hasPartialEvent()
+                || firstEventAt == 0 && !framing().isExplicit();
     }
 
     @Override
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/RequestLog.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/RequestLog.java
@@ -94,6 +94,7 @@
                 .with("afterMs", now - attempt.startedAt())
                 .with("events", events)
                 .with("attemptEvents", events - attempt.eventsBefore())
+                .with("response", attempt.describeResponse())
                 .with(
                         "promptParts",
                         traits.promptParts().stream().limit(MAX_LOGGED_PARTS).toList())
--- a/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
@@ -270,21 +270,11 @@
             return;
         }
         headReceived = true;
-        reusable = isFramed(response) && HttpUtil.isKeepAlive(response);
+        reusable = BodyFraming.of(response).isExplicit() && HttpUtil.isKeepAlive(response);
         keepAliveMillis = parseKeepAliveMillis(response.headers());
         listener.onHead(response);
     }
 
-    /**
-     * Indicates whether a response shows where it ends. Otherwise it ends with its connection, also if the target crashes.
-     *
-     * @param response head of the response
-     * @return whether it has a length or is sent in chunks
-     */
-    public static boolean isFramed(HttpResponse response) {
-        return HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
-    }
-
     /**
      * Indicates whether a response belongs to an earlier request. A response without an id can only be matched to a
      * request if it is the first on the connection. Memory commands have no id, so only a response without an id belongs
--- a/kernel/src/main/java/org/bamboohatch/kernel/log/DecisionLog.java
+++ b/kernel/src/main/java/org/bamboohatch/kernel/log/DecisionLog.java
@@ -26,7 +26,7 @@
     public enum Category {
         /** A request that was handled without incident. */
         ROUTINE(40),
-        /** A request that was rejected, retried or failed. Lines of this category have level WARN. */
+        /** A request that was rejected, retried or failed, or may have failed. Lines of this category have level WARN. */
         FAILURE(150),
         /** A change of the configuration or of the view of the cluster. */
         STATE_CHANGE(1_000);
