Lose a response without a length if its target has crashed

Callers got a stream, or a body, that broke off as a complete one: events were missing and the last chunk was there. A response that has neither length nor chunks ends with its connection, and the kernel closes the connections of a process that crashes in the same way. Only a reset was told apart.

The end of such a response is now held until another connection to its target is opened. If the host refuses it, nothing listens there any more and the response is lost: a stream goes on at another target, any other response is answered as unknown. A connection that is opened takes the place of the one that has ended in the pool, so a sound target sees no more connections than before; one that does not answer within 250 ms may be busy, and the response counts as complete, as before. A success of which nothing but the head has come is lost as well.

HttpTargetConnectionTest provides the result of the probe; its case of a proper end checks the same, and that nothing is reported before the result.

What cannot be told: a target that goes on running and closes such a stream between two events.

--- a/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
@@ -45,6 +45,8 @@
 
     private final TargetConnectionPool pool;
 
+    private final TargetProbe probe;
+
     private Channel channel;
 
     /** Receives the response to the request in progress, null if there is none. */
@@ -68,6 +70,12 @@
     /** Whether the head of the response has arrived. */
     private boolean headReceived;
 
+    /** Whether the response is successful and nothing of its body has arrived. */
+    private boolean bodyMissing;
+
+    /** Whether the connection has ended as the response does, and the target is asked for another one. */
+    private boolean confirmingEnd;
+
     /** Bytes received since the request was sent, until the head of its response has arrived. */
     private long unrelatedBytes;
 
@@ -91,11 +99,13 @@
      * @param address address of the target
      * @param requestIdField name of the header field with the id of a request
      * @param pool pool to which the connection is returned after a response
+     * @param probe finds out whether the target still runs
      */
-    HttpTargetConnection(TargetAddress address, String requestIdField, TargetConnectionPool pool) {
+    HttpTargetConnection(TargetAddress address, String requestIdField, TargetConnectionPool pool, TargetProbe probe) {
         this.address = address;
         this.requestIdField = requestIdField;
         this.pool = pool;
+        this.probe = probe;
     }
 
     TargetAddress address() {
@@ -270,6 +280,7 @@
             return;
         }
         headReceived = true;
+        bodyMissing = response.status().codeClass() == HttpStatusClass.SUCCESS;
         reusable = BodyFraming.of(response).isExplicit() && HttpUtil.isKeepAlive(response);
         keepAliveMillis = parseKeepAliveMillis(response.headers());
         listener.onHead(response);
@@ -321,10 +332,13 @@
             return;
         }
         if (content.content().isReadable()) {
+            bodyMissing = false;
             listener.onContent(content.content());
         }
-        if (last && listener != null) {
+        if (last && listener != null && channel.isActive()) {
             completeResponse();
+        } else if (last && listener != null) {
+            confirmEnd();
         }
     }
 
@@ -343,6 +357,28 @@
         completed.onEnd();
     }
 
+    /**
+     * Reports the end of a response that has ended with its connection. A target that crashes closes its connections too, so
+     * the response is lost if the target has ended, or if nothing but the head shows a success.
+     */
+    private void confirmEnd() {
+        if (bodyMissing) {
+            loseResponse(LossCause.CUT);
+            return;
+        }
+        confirmingEnd = true;
+        probe.probe(address, GatewayClock.now(), running -> {
+            if (listener == null) {
+                return;
+            }
+            if (running) {
+                completeResponse();
+            } else {
+                loseResponse(LossCause.CRASHED);
+            }
+        });
+    }
+
     /**
      * Closes the connection, and reports the loss of the response if a request is in progress.
      *
@@ -369,6 +405,8 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         pool.onClosed(this);
-        loseResponse(headReceived ? LossCause.CUT : failed ? LossCause.RESET : LossCause.CLOSED);
+        if (!confirmingEnd) {
+            loseResponse(headReceived ? LossCause.CUT : failed ? LossCause.RESET : LossCause.CLOSED);
+        }
     }
 }
--- a/gateway/src/main/java/org/bamboohatch/gateway/target/LossCause.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/LossCause.java
@@ -8,6 +8,8 @@
     RESET("reset", true),
     /** The target closed the connection within a response. */
     CUT("cut within the answer", true),
+    /** The target ended, and with it the connection that would show the end of the response. */
+    CRASHED("target ended within the answer", true),
     /** The response violates the protocol. */
     MALFORMED("malformed answer", false),
     /** The target sends bytes that belong to no response, without end. */
--- a/gateway/src/main/java/org/bamboohatch/gateway/target/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/TargetConnectionPool.java
@@ -1,5 +1,6 @@
 package org.bamboohatch.gateway.target;
 
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -17,6 +18,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -41,6 +43,9 @@
     /** Keep-alive time that is assumed of targets that do not report any, in milliseconds. */
     private static final long DEFAULT_KEEP_ALIVE_MS = 3_000;
 
+    /** Timeout for the connection that shows whether a target still runs, in milliseconds. */
+    private static final int PROBE_TIMEOUT_MS = 250;
+
     /** Fraction of the keep-alive time during which an idle connection is used; the rest covers network delays. */
     private static final double KEEP_ALIVE_FRACTION = 0.6;
 
@@ -136,6 +141,31 @@
         return (long) (keepAlive * (nonRepeatable ? NON_REPEATABLE_KEEP_ALIVE_FRACTION : KEEP_ALIVE_FRACTION));
     }
 
+    /**
+     * Probes a target with a connection that stays in the pool. The target has ended if its host refuses the connection; one
+     * that does not answer in time may be busy.
+     *
+     * @param address address of the target
+     * @param now current time, in milliseconds
+     * @param onResult invoked with {@code false} if the connection was refused
+     */
+    private void probe(TargetAddress address, long now, Consumer<Boolean> onResult) {
+        Optional<InetSocketAddress> remote = Network.parseAnnounced(address.address());
+        if (remote.isEmpty()) {
+            onResult.accept(true);
+            return;
+        }
+        HttpTargetConnection connection = new HttpTargetConnection(address, requestIdField, this, this::probe);
+        connect(connection, remote.get(), PROBE_TIMEOUT_MS).addListener(done -> {
+            if (done.isSuccess()) {
+                returnUnused(connection, now);
+            }
+            boolean refused =
+                    done.cause() instanceof ConnectException && !(done.cause() instanceof ConnectTimeoutException);
+            onResult.accept(!refused);
+        });
+    }
+
     private void open(TargetAddress address, int connectTimeoutMillis, Consumer<HttpTargetConnection> onOpened) {
         Optional<InetSocketAddress> remote = Network.parseAnnounced(address.address());
         if (remote.isEmpty()) {
@@ -143,12 +173,17 @@
             onOpened.accept(null);
             return;
         }
-        HttpTargetConnection connection = new HttpTargetConnection(address, requestIdField, this);
+        HttpTargetConnection connection = new HttpTargetConnection(address, requestIdField, this, this::probe);
+        connect(connection, remote.get(), connectTimeoutMillis)
+                .addListener(done -> onOpened.accept(done.isSuccess() ? connection : null));
+    }
+
+    private ChannelFuture connect(HttpTargetConnection connection, InetSocketAddress remote, int timeoutMillis) {
         Bootstrap bootstrap = new Bootstrap();
         bootstrap.group(loop);
         bootstrap.channel(NioSocketChannel.class);
         bootstrap.option(ChannelOption.TCP_NODELAY, true);
-        bootstrap.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis);
+        bootstrap.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis);
         bootstrap.handler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
@@ -158,8 +193,7 @@
                 channel.pipeline().addLast(connection);
             }
         });
-        ChannelFuture connecting = bootstrap.connect(remote.get());
-        connecting.addListener(done -> onOpened.accept(done.isSuccess() ? connection : null));
+        return bootstrap.connect(remote);
     }
 
     /**
--- a/gateway/src/test/java/org/bamboohatch/gateway/target/HttpTargetConnectionTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/target/HttpTargetConnectionTest.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -34,7 +35,11 @@
     private final TargetConnectionPool pool =
             new TargetConnectionPool(null, "Request-Id", (target, head, requestSentAt) -> {});
 
-    private final HttpTargetConnection connection = new HttpTargetConnection(address, "Request-Id", pool);
+    /** Receives the result of the probe, which a test provides. */
+    private Consumer<Boolean> probeResult = running -> {};
+
+    private final HttpTargetConnection connection =
+            new HttpTargetConnection(address, "Request-Id", pool, (probed, now, onResult) -> probeResult = onResult);
 
     private final SlowWrites writes = new SlowWrites();
 
@@ -96,6 +101,11 @@
         channel.writeInbound(bytes);
     }
 
+    private void close() {
+        channel.close();
+        channel.runPendingTasks();
+    }
+
     /** Guards against a truncated response that is taken for complete because a write, not a read, met the reset. */
     @Test
     void aResponseWithoutALengthIsLostIfAWriteMeetsTheReset() {
@@ -109,11 +119,57 @@
     void aResponseWithoutALengthEndsWithItsConnection() {
         send();
         receive(UNFRAMED);
-        channel.close();
-        channel.runPendingTasks();
+        close();
+        assertThat(events).containsExactly("200");
+        probeResult.accept(true);
         assertThat(events).containsExactly("200", "complete");
     }
 
+    /** Guards against a truncated response that is taken for complete because a crash closes connections, too. */
+    @Test
+    void aResponseWithoutALengthIsLostIfItsTargetHasEnded() {
+        send();
+        receive(UNFRAMED);
+        close();
+        probeResult.accept(false);
+        assertThat(events).containsExactly("200", "lost");
+    }
+
+    /** Guards against an empty success where a target closed its connection right after the head. */
+    @Test
+    void aResponseWithoutALengthIsLostIfItHasNoBody() {
+        send();
+        receive("HTTP/1.1 200 OK\r\nRequest-Id: a1\r\n\r\n");
+        close();
+        assertThat(events).containsExactly("200", "lost");
+    }
+
+    @Test
+    void aFailureWithoutALengthNeedsNoBody() {
+        send();
+        receive("HTTP/1.1 404 Not Found\r\nRequest-Id: a1\r\n\r\n");
+        close();
+        probeResult.accept(true);
+        assertThat(events).containsExactly("404", "complete");
+    }
+
+    @Test
+    void aResponseThatCannotHaveABodyIsCompleteWithItsHead() {
+        send();
+        receive("HTTP/1.1 204 No Content\r\nRequest-Id: a1\r\n\r\n");
+        assertThat(events).containsExactly("204", "complete");
+    }
+
+    @Test
+    void aCancelledRequestHasNoEndEvenIfItsConnectionHasEnded() {
+        send();
+        receive(UNFRAMED);
+        close();
+        connection.cancel();
+        probeResult.accept(true);
+        assertThat(events).containsExactly("200");
+    }
+
     @Test
     void anEarlyResponseWithALengthIsCompleteInSpiteOfTheReset() {
         send();
@@ -125,8 +181,7 @@
     /** Guards against a request that waits until its deadline on a connection that had ended before. */
     @Test
     void aRequestOnAConnectionThatHasEndedIsLostAtOnce() {
-        channel.close();
-        channel.runPendingTasks();
+        close();
         HttpHeaders headers = new DefaultHttpHeaders().set("Request-Id", "a1");
         connection.send(HttpMethod.POST, "/x", headers, new byte[100], new Events());
         writes.reset(channel);
