Reject the head of another response within a stream of events

A target that answers twice may send the second response where the first one, which has no length or was cut, still goes on. The framer took any line for a field, so the caller got the second status line and header fields as an event of its stream. No event has a line that begins like a status line, so the stream is now rejected there, before the event that contains it is passed on, and goes on at another target. With the check switched off EventFramerTest and the first case of ResumedStreamTest fail; where the cut response had a length, its unfinished last event was withheld before, too. EventFramer names what does not belong to the stream, in place of a flag; the checks of its test are the same or more.

--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/EventFramer.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/EventFramer.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 
 /**
@@ -13,11 +14,14 @@
 final class EventFramer {
 
     /** Prefix of the line that carries an event's id. */
-    private static final String ID_FIELD = "id:";
+    private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
     /** Prefix of a line that carries no data, such as those that only keep a connection alive. */
     private static final byte COMMENT = ':';
 
+    /** Prefix of a status line. An event has no such field. */
+    private static final byte[] STATUS_LINE = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
+
     private static final byte LINE_FEED = '\n';
 
     /** Bytes of the incomplete event. */
@@ -32,8 +36,8 @@
     /** Id of the last complete event that has a field, or null if it has none: the stream cannot be resumed after it. */
     private String lastEventId;
 
-    /** Whether an event was received whose id does not follow that of the event before it. */
-    private boolean outOfOrder;
+    /** Description of the first bytes that do not belong to the stream, or null. */
+    private String violation;
 
     /** Whether the incomplete event has a field, rather than comments only. */
     private boolean pendingField;
@@ -53,8 +57,8 @@
     EventFramer() {}
 
     /**
-     * Appends bytes of the stream and returns those of the events that they complete, up to the first one that is out of
-     * order.
+     * Appends bytes of the stream and returns those of the events that they complete, up to the first one that does
+     * not belong to the stream.
      *
      * @param part the next bytes; they are consumed
      * @param now current time, in milliseconds
@@ -62,11 +66,11 @@
      */
     byte[] append(ByteBuf part, long now) {
         int completeBytes = 0;
-        while (part.isReadable() && !outOfOrder) {
+        while (part.isReadable() && violation == null) {
             int lineBytes = part.bytesBefore(LINE_FEED);
             partialEvent.writeBytes(part, lineBytes < 0 ? part.readableBytes() : lineBytes + 1);
             if (lineBytes >= 0) {
-                if (endLine(now) && !outOfOrder) {
+                if (endLine(now) && violation == null) {
                     completeBytes = partialEvent.writerIndex();
                 }
                 lineStart = partialEvent.writerIndex();
@@ -95,8 +99,10 @@
             return true;
         }
         pendingField |= partialEvent.getByte(lineStart) != COMMENT;
-        if (startsWithId(end)) {
-            int valueStart = lineStart + ID_FIELD.length();
+        if (startsWith(STATUS_LINE, end)) {
+            violation = "head of another response";
+        } else if (startsWith(ID_FIELD, end)) {
+            int valueStart = lineStart + ID_FIELD.length;
             pendingId = partialEvent
                     .toString(valueStart, end - valueStart, StandardCharsets.UTF_8)
                     .strip();
@@ -104,11 +110,9 @@
         return false;
     }
 
-    private boolean startsWithId(int end) {
-        return end - lineStart >= ID_FIELD.length()
-                && partialEvent.getByte(lineStart) == ID_FIELD.charAt(0)
-                && partialEvent.getByte(lineStart + 1) == ID_FIELD.charAt(1)
-                && partialEvent.getByte(lineStart + 2) == ID_FIELD.charAt(2);
+    private boolean startsWith(byte[] prefix, int end) {
+        return end - lineStart >= prefix.length
+                && ByteBufUtil.equals(partialEvent, lineStart, Unpooled.wrappedBuffer(prefix), 0, prefix.length);
     }
 
     /**
@@ -118,7 +122,7 @@
      */
     private void endEvent(long now) {
         if (pendingId != null && !follows(pendingId)) {
-            outOfOrder = true;
+            violation = "event that does not follow event " + lastEventId;
             return;
         }
         if (pendingField) {
@@ -157,16 +161,17 @@
         lineStart = 0;
         pendingId = null;
         pendingField = false;
-        outOfOrder = false;
+        violation = null;
     }
 
     /**
-     * Indicates whether the target sent an event that does not follow the one before it. Nothing after that one is used.
+     * Returns what the target sent that does not belong to the stream: an event that does not follow the one before it, or
+     * the head of another response. Nothing from there on is used.
      *
-     * @return whether the incomplete event is out of order
+     * @return a description for the decision log, empty if there is no such thing
      */
-    boolean isOutOfOrder() {
-        return outOfOrder;
+    Optional<String> violation() {
+        return Optional.ofNullable(violation);
     }
 
     boolean hasPartialEvent() {
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardingAttempt.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardingAttempt.java
@@ -1,5 +1,6 @@
 package org.bamboohatch.gateway.forward;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
@@ -278,9 +279,9 @@
             forwarded.beginResponse(this, response, -1);
             forward(Unpooled.wrappedBuffer(events));
         }
-        if (forwarded.framer().isOutOfOrder()) {
-            rejectResponse("event that does not follow event "
-                    + forwarded.framer().lastEventId().orElse(""));
+        Optional<String> violation = forwarded.framer().violation();
+        if (violation.isPresent()) {
+            rejectResponse(violation.get());
         } else if (forwarded.framer().partialEventBytes() > MAX_EVENT_BYTES) {
             rejectResponse("event of more than " + MAX_EVENT_BYTES + " bytes");
         }
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/EventFramerTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/EventFramerTest.java
@@ -67,7 +67,17 @@
         byte[] forwarded = framer.append(
                 Unpooled.wrappedBuffer(bytes("id: 4\ndata: a\n\nid: 5\ndata: b\n\nid: 5\ndata: b\n\nid: 6\n\n")), 5);
         assertThat(new String(forwarded, StandardCharsets.UTF_8)).isEqualTo("id: 4\ndata: a\n\nid: 5\ndata: b\n\n");
-        assertThat(framer.isOutOfOrder()).isTrue();
+        assertThat(framer.violation()).contains("event that does not follow event 5");
         assertThat(framer.lastEventId()).contains("5");
     }
+
+    @Example
+    void nothingIsForwardedFromTheHeadOfAnotherResponse() {
+        EventFramer framer = new EventFramer();
+        byte[] forwarded = framer.append(
+                Unpooled.wrappedBuffer(bytes("id: 4\ndata: a\n\nid: 5\nHTTP/1.1 200 OK\r\nSeal: x\r\n\r\nid: 6\n\n")),
+                5);
+        assertThat(new String(forwarded, StandardCharsets.UTF_8)).isEqualTo("id: 4\ndata: a\n\n");
+        assertThat(framer.violation()).contains("head of another response");
+    }
 }
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/ResumedStreamTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/ResumedStreamTest.java
@@ -101,6 +101,20 @@
         assertThat(text).containsOnlyOnce("id: 1").doesNotContain("id: 2").doesNotEndWith(COMPLETE_END);
     }
 
+    /** A target that answers twice on one connection; the first response has no length, or is cut. */
+    @ParameterizedTest
+    @ValueSource(strings = {"\r\n%s", "Content-Length: 95\r\n\r\n%s", "Content-Length: 95\r\n\r\n%sid: 3\ndata: "})
+    void theSecondResponseOfATargetIsNotPartOfTheStream(String framing) throws Exception {
+        String next = "id: 2\ndata: b\n\n";
+        String head =
+                "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nAnswer-Seal: second\r\nContent-Type: text/event-stream\r\n";
+        String text = resume(head + String.format(framing, next) + head + "\r\n" + next);
+
+        assertThat(text).contains(FIRST_EVENT).contains(next);
+        assertThat(text).doesNotContain("HTTP/1.1 200 OK\r\nRequest-Id: a1\r\nAnswer-Seal: second");
+        assertThat(text).doesNotEndWith(COMPLETE_END);
+    }
+
     @Test
     void aStreamThatEndsWithinAnEventIsNotComplete() throws Exception {
         String text = resume(streamHead("{id}", "second") + chunk("id: 2\ndata: b") + COMPLETE_END);
