Use the connection of a target that repeats no ids for one request only

A response without an id can be matched to its request only if it is the first on its connection. The connection was kept nevertheless, and the second response on it taken for a late one and dropped: the request waited until its deadline and was answered 504, though the target had answered at once. Such a connection is now closed after its response. Before, the test got 504 for its second request. Memory commands are not concerned, as their connections carry one command at most.

Changed: the target of ForwardingTest.anEarlierRefusalThatIsWrittenAgainIsNotTheAnswer wrote the earlier refusal on new connections too, where nobody can tell a response without an id from that of the request. It writes it on each connection that is used again, for both forms of the refusal; the checks are the same.

--- a/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
@@ -281,7 +281,8 @@
         }
         headReceived = true;
         bodyMissing = response.status().codeClass() == HttpStatusClass.SUCCESS;
-        reusable = BodyFraming.of(response).isExplicit() && HttpUtil.isKeepAlive(response);
+        boolean matchable = id != null || expectedId == null;
+        reusable = matchable && BodyFraming.of(response).isExplicit() && HttpUtil.isKeepAlive(response);
         keepAliveMillis = parseKeepAliveMillis(response.headers());
         listener.onHead(response);
     }
