Send nothing on a connection that has carried a HEAD request

A target that answers a HEAD request twice, the second time late, spoiled the next response on the connection: the codec pairs responses with methods in their order, so it read the late head with the body that it declares and took the next response for that body. The next request was answered 502, or waited until its deadline if the late head declared more bytes than came; a wrong body was not seen. The connection of a HEAD request is now closed after its response. Before, the test got 502.

--- a/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
@@ -64,6 +64,9 @@
     /** Whether the response that arrives does not belong to the request in progress, or is informational. */
     private boolean discarding;
 
+    /** Whether the request in progress asks for the head of a response only. */
+    private boolean headOnly;
+
     /** Whether the connection can carry another request after the response. */
     private boolean reusable;
 
@@ -158,6 +161,7 @@
         sentAt = GatewayClock.now();
         listener = responseListener;
         expectedId = headers.get(requestIdField);
+        headOnly = method.equals(HttpMethod.HEAD);
         carriedUnidentified |= expectedId == null;
         discarding = false;
         headReceived = false;
@@ -281,7 +285,8 @@
         }
         headReceived = true;
         bodyMissing = response.status().codeClass() == HttpStatusClass.SUCCESS;
-        boolean matchable = id != null || expectedId == null;
+        // The codec pairs responses and methods in their order, so a second response to HEAD would be read with a body.
+        boolean matchable = (id != null || expectedId == null) && !headOnly;
         reusable = matchable && BodyFraming.of(response).isExplicit() && HttpUtil.isKeepAlive(response);
         keepAliveMillis = parseKeepAliveMillis(response.headers());
         listener.onHead(response);
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/ReusedConnectionTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/ReusedConnectionTest.java
@@ -1,5 +1,7 @@
 package org.bamboohatch.gateway.forward;
 
+import java.util.concurrent.CountDownLatch;
+
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -27,4 +29,41 @@
             }
         }
     }
+
+    /** The codec matches responses to methods by their order, so the body of a later response was taken for that of a head. */
+    @Test
+    void aSecondResponseToAHeadRequestTakesNoBytesOfTheNextOne() throws Exception {
+        CountDownLatch nextReceived = new CountDownLatch(1);
+        CountDownLatch lateWritten = new CountDownLatch(1);
+        FakeTarget.Script answeringHeadsTwice = (received, connection) -> {
+            String text = answer(received.id(), "body of " + received.id());
+            if (!received.line().startsWith("HEAD")) {
+                nextReceived.countDown();
+                lateWritten.await();
+                write(connection, text);
+                return true;
+            }
+            String head = text.substring(0, text.indexOf("\r\n\r\n") + 4);
+            write(connection, head);
+            Thread late = new Thread(() -> {
+                try {
+                    nextReceived.await();
+                    write(connection, head);
+                } catch (java.io.IOException | InterruptedException ended) {
+                    // The connection is not used again.
+                } finally {
+                    lateWritten.countDown();
+                }
+            });
+            late.start();
+            return true;
+        };
+        try (FakeTarget target = new FakeTarget(answeringHeadsTwice);
+                GatewayHarness gateway = new GatewayHarness(target)) {
+            assertThat(gateway.call(request("HEAD", "/read/x", "a1", "", ""))).startsWith("HTTP/1.1 200");
+            assertThat(gateway.call(request("GET", "/read/x", "a2", "", "")))
+                    .startsWith("HTTP/1.1 200")
+                    .endsWith("body of a2");
+        }
+    }
 }
