Lose a response that switches protocols at once

A target that answered 101 was waited for until the deadline of its request: the response was skipped like other interim ones, and nothing that follows it is a response. No request asks for another protocol, as gateways do not pass on Upgrade, so such a response is malformed. Before, the test got 504 at its deadline; now it gets 502, and a request that may be repeated goes to another target.

--- a/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -272,7 +273,8 @@
     }
 
     private void handleHead(HttpResponse response) {
-        if (response.decoderResult().isFailure()) {
+        boolean switching = response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
+        if (response.decoderResult().isFailure() || switching) {
             loseResponse(LossCause.MALFORMED);
             return;
         }
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/ReusedConnectionTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/ReusedConnectionTest.java
@@ -66,4 +66,19 @@
                     .endsWith("body of a2");
         }
     }
+
+    /** What follows a switch of protocols is no response, so the request waited until its deadline. */
+    @Test
+    void aSwitchOfProtocolsIsNoResponse() throws Exception {
+        FakeTarget.Script switching = (received, connection) -> {
+            write(connection, "HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\nConnection: upgrade\r\n\r\n");
+            return true;
+        };
+        try (FakeTarget target = new FakeTarget(switching);
+                GatewayHarness gateway = new GatewayHarness(target)) {
+            assertThat(gateway.call(request("POST", "/order/x", "a1", "", "crates")))
+                    .startsWith("HTTP/1.1 502")
+                    .contains("malformed");
+        }
+    }
 }
