--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/BrokenResponseTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/BrokenResponseTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -131,6 +132,32 @@
         }
     }
 
+    /** A body that is too large to be buffered is passed on before its end is known. */
+    @ParameterizedTest
+    @EnumSource(Ending.class)
+    void aLargeBodyThatBreaksOffDoesNotReachTheCallerAsComplete(Ending ending) throws Exception {
+        String part = "x".repeat(1_500_000);
+        for (String framing : List.of("Content-Length: 3000000\r\n\r\n" + part, CHUNKED + chunk(part), "\r\n" + part)) {
+            if (framing.startsWith("\r\n") && ending == Ending.CLOSED) {
+                continue;
+            }
+            FakeTarget[] target = new FakeTarget[1];
+            target[0] = new FakeTarget((received, connection) -> {
+                write(connection, HEAD + framing);
+                ending.apply(target[0], connection);
+                return false;
+            });
+            try (GatewayHarness gateway = new GatewayHarness(target[0])) {
+                String text = gateway.call(request("POST", "/read/x", "a1", "", "prompt"));
+                assertThat(text.startsWith("HTTP/1.1 200") && isComplete(text))
+                        .as(text.lines().findFirst().orElse(""))
+                        .isFalse();
+            } finally {
+                target[0].close();
+            }
+        }
+    }
+
     private static boolean isComplete(String text) {
         int bodyStart = text.indexOf("\r\n\r\n") + 4;
         if (text.substring(0, bodyStart).contains("chunked")) {
