Count a target that ends the connection of a probe as ended

The end of a response without a length is confirmed by another connection to its target. A process that ends may have that connection established by its kernel before its listener is closed, or reset while it is established; a reset is no ConnectException, so the target was taken to run and the truncated response for complete. (Seen in a trial with busy processors: connect failed with "Connection reset by peer".) The connection must now stay open for 20 ms, and any failure that comes from the host counts, but for a timeout or a missing route, which tell nothing about the process.

--- a/gateway/src/main/java/org/bamboohatch/gateway/target/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/TargetConnectionPool.java
@@ -1,7 +1,8 @@
 package org.bamboohatch.gateway.target;
 
-import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.net.NoRouteToHostException;
+import java.net.SocketException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -11,6 +12,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
@@ -46,6 +49,9 @@
     /** Timeout for the connection that shows whether a target still runs, in milliseconds. */
     private static final int PROBE_TIMEOUT_MS = 250;
 
+    /** The usual settling time of a probe, in milliseconds. */
+    private static final int PROBE_SETTLING_MS = 20;
+
     /** Fraction of the keep-alive time during which an idle connection is used; the rest covers network delays. */
     private static final double KEEP_ALIVE_FRACTION = 0.6;
 
@@ -59,6 +65,9 @@
     /** Receives the heads of all responses. */
     private final ResponseObserver observer;
 
+    /** Time for which the connection of a probe must stay open before it shows that the target runs, in milliseconds. */
+    private final long probeSettlingMillis;
+
     /** The idle connections by target, the most recently used first. */
     private final Map<TargetAddress, Deque<HttpTargetConnection>> idle = new HashMap<>();
 
@@ -70,9 +79,14 @@
      * @param observer receives the heads of all responses, also of those that belong to no request in progress
      */
     public TargetConnectionPool(EventLoop loop, String requestIdField, ResponseObserver observer) {
+        this(loop, requestIdField, observer, PROBE_SETTLING_MS);
+    }
+
+    TargetConnectionPool(EventLoop loop, String requestIdField, ResponseObserver observer, long probeSettlingMillis) {
         this.loop = loop;
         this.requestIdField = requestIdField;
         this.observer = observer;
+        this.probeSettlingMillis = probeSettlingMillis;
     }
 
     /** Observes what targets report about themselves in their responses. */
@@ -142,30 +156,54 @@
     }
 
     /**
-     * Probes a target with a connection that stays in the pool. The target has ended if its host refuses the connection; one
-     * that does not answer in time may be busy.
+     * Probes a target with a connection that stays in the pool. The target has ended if its host refuses the connection, or
+     * accepts and ends it, as it does while a process ends; a target that does not answer in time may be busy.
      *
      * @param address address of the target
      * @param now current time, in milliseconds
-     * @param onResult invoked with {@code false} if the connection was refused
+     * @param onResult invoked with {@code false} if the connection was refused or has ended
      */
-    private void probe(TargetAddress address, long now, Consumer<Boolean> onResult) {
+    void probe(TargetAddress address, long now, Consumer<Boolean> onResult) {
         Optional<InetSocketAddress> remote = Network.parseAnnounced(address.address());
         if (remote.isEmpty()) {
             onResult.accept(true);
             return;
         }
         HttpTargetConnection connection = new HttpTargetConnection(address, requestIdField, this, this::probe);
-        connect(connection, remote.get(), PROBE_TIMEOUT_MS).addListener(done -> {
-            if (done.isSuccess()) {
-                returnUnused(connection, now);
+        ChannelFuture connecting = connect(connection, remote.get(), PROBE_TIMEOUT_MS);
+        connecting.addListener(done -> {
+            if (!done.isSuccess()) {
+                onResult.accept(!isRefusal(done.cause()));
+                return;
             }
-            boolean refused =
-                    done.cause() instanceof ConnectException && !(done.cause() instanceof ConnectTimeoutException);
-            onResult.accept(!refused);
+            Future<?> settling = loop.schedule(
+                    () -> {
+                        returnUnused(connection, now);
+                        onResult.accept(true);
+                    },
+                    probeSettlingMillis,
+                    TimeUnit.MILLISECONDS);
+            connecting.channel().closeFuture().addListener(closed -> {
+                if (settling.cancel(false)) {
+                    onResult.accept(false);
+                }
+            });
         });
     }
 
+    /**
+     * Indicates whether a failure to connect comes from the host of a target. A listener that is closed while a connection is
+     * established resets it.
+     *
+     * @param cause the failure
+     * @return whether the host refused the connection or reset it
+     */
+    private static boolean isRefusal(Throwable cause) {
+        return cause instanceof SocketException
+                && !(cause instanceof ConnectTimeoutException)
+                && !(cause instanceof NoRouteToHostException);
+    }
+
     private void open(TargetAddress address, int connectTimeoutMillis, Consumer<HttpTargetConnection> onOpened) {
         Optional<InetSocketAddress> remote = Network.parseAnnounced(address.address());
         if (remote.isEmpty()) {
