Reset the connection of the probe's test after it is established

The target now resets it 200 ms later; without the settling time the case fails, with it it passes (both run).

--- a/gateway/src/test/java/org/bamboohatch/gateway/target/TargetProbeTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/target/TargetProbeTest.java
@@ -63,8 +63,9 @@
         try (ServerSocket listener = new ServerSocket(0, 50, LOOPBACK)) {
             Thread ending = new Thread(() -> {
                 try (Socket accepted = listener.accept()) {
+                    TimeUnit.MILLISECONDS.sleep(200);
                     accepted.setSoLinger(true, 0);
-                } catch (IOException unexpected) {
+                } catch (IOException | InterruptedException unexpected) {
                     throw new IllegalStateException(unexpected);
                 }
             });
