Probe a target again after a reset

Only a refusal shows that nothing listens. After a reset, while the connection is established or before it has settled, two more are tried, 20 ms apart: the host of a process that has ended refuses them by then, a target at its limit resets them, too, and counts as running.

TargetProbeTest: the target that ends with its connection kept its listener, so that it looked like one at its limit; it now closes the listener, as the kernel does. The check is the same; the target at its limit is a new case. The probe is a class of its own.

--- a/gateway/src/main/java/org/bamboohatch/gateway/target/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/TargetConnectionPool.java
@@ -1,8 +1,6 @@
 package org.bamboohatch.gateway.target;
 
 import java.net.InetSocketAddress;
-import java.net.NoRouteToHostException;
-import java.net.SocketException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -12,8 +10,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
@@ -21,7 +17,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -46,12 +41,6 @@
     /** Keep-alive time that is assumed of targets that do not report any, in milliseconds. */
     private static final long DEFAULT_KEEP_ALIVE_MS = 3_000;
 
-    /** Timeout for the connection that shows whether a target still runs, in milliseconds. */
-    private static final int PROBE_TIMEOUT_MS = 250;
-
-    /** The usual settling time of a probe, in milliseconds. */
-    private static final int PROBE_SETTLING_MS = 20;
-
     /** Fraction of the keep-alive time during which an idle connection is used; the rest covers network delays. */
     private static final double KEEP_ALIVE_FRACTION = 0.6;
 
@@ -65,8 +54,8 @@
     /** Receives the heads of all responses. */
     private final ResponseObserver observer;
 
-    /** Time for which the connection of a probe must stay open before it shows that the target runs, in milliseconds. */
-    private final long probeSettlingMillis;
+    /** Finds out whether targets still run. */
+    private final TargetProbe probe;
 
     /** The idle connections by target, the most recently used first. */
     private final Map<TargetAddress, Deque<HttpTargetConnection>> idle = new HashMap<>();
@@ -79,14 +68,10 @@
      * @param observer receives the heads of all responses, also of those that belong to no request in progress
      */
     public TargetConnectionPool(EventLoop loop, String requestIdField, ResponseObserver observer) {
-        this(loop, requestIdField, observer, PROBE_SETTLING_MS);
-    }
-
-    TargetConnectionPool(EventLoop loop, String requestIdField, ResponseObserver observer, long probeSettlingMillis) {
         this.loop = loop;
         this.requestIdField = requestIdField;
         this.observer = observer;
-        this.probeSettlingMillis = probeSettlingMillis;
+        this.probe = new TargetProbe.ForConnections(this, loop, TargetProbe.ForConnections.SETTLING_MS);
     }
 
     /** Observes what targets report about themselves in their responses. */
@@ -155,55 +140,6 @@
         return (long) (keepAlive * (nonRepeatable ? NON_REPEATABLE_KEEP_ALIVE_FRACTION : KEEP_ALIVE_FRACTION));
     }
 
-    /**
-     * Probes a target with a connection that stays in the pool. The target has ended if its host refuses the connection, or
-     * accepts and ends it, as it does while a process ends; a target that does not answer in time may be busy.
-     *
-     * @param address address of the target
-     * @param now current time, in milliseconds
-     * @param onResult invoked with {@code false} if the connection was refused or has ended
-     */
-    void probe(TargetAddress address, long now, Consumer<Boolean> onResult) {
-        Optional<InetSocketAddress> remote = Network.parseAnnounced(address.address());
-        if (remote.isEmpty()) {
-            onResult.accept(true);
-            return;
-        }
-        HttpTargetConnection connection = new HttpTargetConnection(address, requestIdField, this, this::probe);
-        ChannelFuture connecting = connect(connection, remote.get(), PROBE_TIMEOUT_MS);
-        connecting.addListener(done -> {
-            if (!done.isSuccess()) {
-                onResult.accept(!isRefusal(done.cause()));
-                return;
-            }
-            Future<?> settling = loop.schedule(
-                    () -> {
-                        returnUnused(connection, now);
-                        onResult.accept(true);
-                    },
-                    probeSettlingMillis,
-                    TimeUnit.MILLISECONDS);
-            connecting.channel().closeFuture().addListener(closed -> {
-                if (settling.cancel(false)) {
-                    onResult.accept(false);
-                }
-            });
-        });
-    }
-
-    /**
-     * Indicates whether a failure to connect comes from the host of a target. A listener that is closed while a connection is
-     * established resets it.
-     *
-     * @param cause the failure
-     * @return whether the host refused the connection or reset it
-     */
-    private static boolean isRefusal(Throwable cause) {
-        return cause instanceof SocketException
-                && !(cause instanceof ConnectTimeoutException)
-                && !(cause instanceof NoRouteToHostException);
-    }
-
     private void open(TargetAddress address, int connectTimeoutMillis, Consumer<HttpTargetConnection> onOpened) {
         Optional<InetSocketAddress> remote = Network.parseAnnounced(address.address());
         if (remote.isEmpty()) {
@@ -211,12 +147,30 @@
             onOpened.accept(null);
             return;
         }
-        HttpTargetConnection connection = new HttpTargetConnection(address, requestIdField, this, this::probe);
+        HttpTargetConnection connection = newConnection(address);
         connect(connection, remote.get(), connectTimeoutMillis)
                 .addListener(done -> onOpened.accept(done.isSuccess() ? connection : null));
     }
 
-    private ChannelFuture connect(HttpTargetConnection connection, InetSocketAddress remote, int timeoutMillis) {
+    /**
+     * Creates a connection whose channel is not open yet.
+     *
+     * @param address address of the target
+     * @return the connection
+     */
+    HttpTargetConnection newConnection(TargetAddress address) {
+        return new HttpTargetConnection(address, requestIdField, this, probe);
+    }
+
+    /**
+     * Opens the channel of a connection.
+     *
+     * @param connection the connection
+     * @param remote address to connect to
+     * @param timeoutMillis timeout, in milliseconds
+     * @return completed when the channel is open or has failed
+     */
+    ChannelFuture connect(HttpTargetConnection connection, InetSocketAddress remote, int timeoutMillis) {
         Bootstrap bootstrap = new Bootstrap();
         bootstrap.group(loop);
         bootstrap.channel(NioSocketChannel.class);
--- a/gateway/src/test/java/org/bamboohatch/gateway/target/TargetProbeTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/target/TargetProbeTest.java
@@ -28,11 +28,11 @@
     private final EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
 
     private boolean probe(int port, long settlingMillis) {
-        TargetConnectionPool pool =
-                new TargetConnectionPool(loop, "Request-Id", (target, head, requestSentAt) -> {}, settlingMillis);
+        TargetConnectionPool pool = new TargetConnectionPool(loop, "Request-Id", (target, head, requestSentAt) -> {});
+        TargetProbe probe = new TargetProbe.ForConnections(pool, loop, settlingMillis);
         TargetAddress address = new TargetAddress(new TargetName("target"), 1, LOOPBACK.getHostAddress() + ':' + port);
         CompletableFuture<Boolean> result = new CompletableFuture<>();
-        loop.execute(() -> pool.probe(address, 0, result::complete));
+        loop.execute(() -> probe.probe(address, 0, result::complete));
         return result.join();
     }
 
@@ -64,6 +64,7 @@
             Thread ending = new Thread(() -> {
                 try (Socket accepted = listener.accept()) {
                     TimeUnit.MILLISECONDS.sleep(200);
+                    listener.close();
                     accepted.setSoLinger(true, 0);
                 } catch (IOException | InterruptedException unexpected) {
                     throw new IllegalStateException(unexpected);
@@ -76,6 +77,27 @@
         }
     }
 
+    /** A target resets the connections beyond its limit. */
+    @Test
+    void aTargetThatResetsEachConnectionRuns() throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 50, LOOPBACK)) {
+            Thread resetting = new Thread(() -> {
+                try {
+                    while (true) {
+                        Socket accepted = listener.accept();
+                        accepted.setSoLinger(true, 0);
+                        accepted.close();
+                    }
+                } catch (IOException closed) {
+                    // The test has ended.
+                }
+            });
+            resetting.start();
+            assertThat(probe(listener.getLocalPort(), TimeUnit.MINUTES.toMillis(1)))
+                    .isTrue();
+        }
+    }
+
     /** A target that is too busy to accept has not ended. */
     @Test
     void aTargetThatDoesNotAnswerMayRun() throws IOException {
