Move the drain of a gateway out of its program

The loop that lets requests end before a gateway stops, and the times of its phases, could be tested only with a whole process and in real time. RequestDrain runs it against a schedule that a test can shorten.

--- a/gateway/src/main/java/org/bamboohatch/gateway/GatewayProgram.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/GatewayProgram.java
@@ -3,17 +3,15 @@
 import javax.inject.Inject;
 import javax.inject.Singleton;
 
-import java.util.concurrent.TimeUnit;
-
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.channel.EventLoop;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.bamboohatch.document.fleet.CallerLimits;
 import org.bamboohatch.gateway.configuration.FleetStore;
 import org.bamboohatch.gateway.configuration.FleetView;
 import org.bamboohatch.gateway.configuration.RouteTable;
+import org.bamboohatch.gateway.forward.DrainSchedule;
 import org.bamboohatch.gateway.forward.Forwarder;
+import org.bamboohatch.gateway.forward.RequestDrain;
 import org.bamboohatch.gateway.http.CallerServer;
 import org.bamboohatch.gateway.http.ReadinessServer;
 import org.bamboohatch.gateway.load.LoadExchange;
@@ -27,20 +25,6 @@
 @Singleton
 public final class GatewayProgram implements Service {
 
-    private static final Logger LOGGER = LogManager.getLogger(GatewayProgram.class);
-
-    /** Maximum time until load balancers stop opening connections to a gateway that is not ready, in milliseconds. */
-    private static final long LOAD_BALANCER_REMOVAL_MS = 2_500;
-
-    /** Time after the signal to stop until which requests are admitted, in milliseconds. */
-    private static final long ADMISSION_GRACE_MS = 2_800;
-
-    /** Interval at which a stopping gateway checks for open connections, in milliseconds. */
-    private static final long STOP_CHECK_INTERVAL_MS = 100;
-
-    /** Idle time after which a stopping gateway closes a connection of a caller, in milliseconds. */
-    private static final long STOP_IDLE_TIMEOUT_MS = 300;
-
     private final GatewaySettings settings;
 
     private final Network network;
@@ -140,34 +124,11 @@
     @Override
     public void stop() {
         stopping = true;
-        loop.execute(callers::beginStop);
-        long startedAt = GatewayClock.now();
-        long elapsed = 0;
-        int open = 1;
-        while (elapsed < settings.stopMillis() && (elapsed < LOAD_BALANCER_REMOVAL_MS || open > 0)) {
-            awaitNextCheck();
-            elapsed = GatewayClock.now() - startedAt;
-            if (elapsed >= ADMISSION_GRACE_MS) {
-                loop.execute(forwarder::stopAdmitting);
-            }
-            long idleTimeout = elapsed < LOAD_BALANCER_REMOVAL_MS ? Long.MAX_VALUE : STOP_IDLE_TIMEOUT_MS;
-            open = loop.submit(() -> callers.closeIdle(idleTimeout))
-                    .syncUninterruptibly()
-                    .getNow();
-        }
-        LOGGER.info("gateway: stopping after {} ms with {} connections open", elapsed, open);
+        new RequestDrain(loop, forwarder, callers, DrainSchedule.within(settings.stopMillis())).run();
         store.stop();
         callers.stop();
         readiness.stop();
         exchange.stop();
         network.stop();
     }
-
-    private static void awaitNextCheck() {
-        try {
-            TimeUnit.MILLISECONDS.sleep(STOP_CHECK_INTERVAL_MS);
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
-        }
-    }
 }
--- /dev/null
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/RequestDrain.java
@@ -0,0 +1,72 @@
+package org.bamboohatch.gateway.forward;
+
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.bamboohatch.gateway.GatewayClock;
+import org.bamboohatch.gateway.http.CallerServer;
+
+/** Ends the work of a gateway that stops: lets load balancers remove it and requests in progress end. */
+public final class RequestDrain {
+
+    private static final Logger LOGGER = LogManager.getLogger(RequestDrain.class);
+
+    /** Interval at which open connections are checked, in milliseconds. */
+    private static final long CHECK_INTERVAL_MS = 100;
+
+    /** Idle time after which a connection of a caller is closed, in milliseconds. */
+    private static final long IDLE_TIMEOUT_MS = 300;
+
+    private final EventLoop loop;
+
+    private final Forwarder forwarder;
+
+    private final CallerServer callers;
+
+    private final DrainSchedule schedule;
+
+    /**
+     * Creates a drain that has not begun.
+     *
+     * @param loop the event loop that serves all callers
+     * @param forwarder handles the requests of callers
+     * @param callers accepts the connections of callers
+     * @param schedule ends of the phases
+     */
+    public RequestDrain(EventLoop loop, Forwarder forwarder, CallerServer callers, DrainSchedule schedule) {
+        this.loop = loop;
+        this.forwarder = forwarder;
+        this.callers = callers;
+        this.schedule = schedule;
+    }
+
+    /** Drains the gateway; returns when no connection is open or the time is over. */
+    public void run() {
+        loop.execute(callers::beginStop);
+        long startedAt = GatewayClock.now();
+        long elapsed = 0;
+        int open = 1;
+        while (elapsed < schedule.endMillis() && (elapsed < schedule.removalMillis() || open > 0)) {
+            awaitNextCheck();
+            elapsed = GatewayClock.now() - startedAt;
+            if (elapsed >= schedule.admissionMillis()) {
+                loop.execute(forwarder::stopAdmitting);
+            }
+            long idleTimeout = elapsed < schedule.removalMillis() ? Long.MAX_VALUE : IDLE_TIMEOUT_MS;
+            open = loop.submit(() -> callers.closeIdle(idleTimeout))
+                    .syncUninterruptibly()
+                    .getNow();
+        }
+        LOGGER.info("gateway: stopping after {} ms with {} connections open", elapsed, open);
+    }
+
+    private static void awaitNextCheck() {
+        try {
+            TimeUnit.MILLISECONDS.sleep(CHECK_INTERVAL_MS);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
