Answer what is still under way when a stopping gateway ends

Callers whose requests were at work when the drain of a gateway was over (7.6 s after SIGTERM) saw their connection end without an answer, also for requests that may not be repeated. The gateway admits requests until 2.8 s after the signal, and their deadlines may lie behind the end of its process; the drain then ended with connections open, and the process with them. In one stop of a real gateway under requests that take 6 s and 12 s, 36 requests that had been passed on got no answer.

Ruled out: the kill by the platform (the process ended by itself after 7.8 s), and a response that was written but not read (the targets were still at work).

The drain has a further phase now. At its end, 500 ms before the end of the drain, each request in progress is ended: with 504 and outcome unknown if a target may have run it, refused as not run if none has it, and aborted if its response has begun. What remains of the drain is enough for the time that a connection lingers after its last response. The attempts are cancelled, so that targets stop and reserved memory is released before the process ends.

RequestDrainTest failed before: expecting actual "" to start with "HTTP/1.1 504". The test of streams passed before; what it guards was untested.

--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardedRequest.java
@@ -19,7 +19,6 @@
 import org.bamboohatch.kernel.log.DecisionLog.Category;
 import org.bamboohatch.kernel.outcome.ErrorCode;
 import org.bamboohatch.kernel.outcome.Refusal;
-import org.bamboohatch.kernel.outcome.RunOutcome;
 import org.bamboohatch.routing.fleet.Demand;
 import org.bamboohatch.routing.quarantine.RequestQuarantine;
 
@@ -414,14 +413,6 @@
         finish("answered", usual ? Category.ROUTINE : Category.FAILURE, attempt.describeResponse());
     }
 
-    /**
-     * Ends the request without a complete response of a target. A response that has begun is aborted, so that the
-     * caller detects that it is incomplete; otherwise the error states whether the request may have run. A refusal is sent only
-     * if no target has run it.
-     *
-     * @param now current time, in milliseconds
-     * @param reason the reason, for the caller and the decision log
-     */
     private void giveUp(long now, String reason) {
         Refusal refusal = Refusal.notRun(ErrorCode.NO_TARGET, "No target took the request: " + reason + ".")
                 .withRetryAfter(forwarder.returnDelay(request, admitted, now));
@@ -429,42 +420,49 @@
     }
 
     private void giveUp(long now, String reason, Refusal refusal) {
+        fail(RequestFailure.of(reason, refusal, now >= admitted.deadline()));
+    }
+
+    /**
+     * Ends the request without a complete response of a target. A response that has begun is aborted, so that the
+     * caller detects that it is incomplete; otherwise the error states whether the request may have run.
+     *
+     * @param failure the reason, and the responses to the caller
+     */
+    private void fail(RequestFailure failure) {
         if (ended) {
             return;
         }
         if (responding) {
             responder.abort();
-            finish("aborted", Category.FAILURE, reason);
-        } else if (history.mayHaveRun()) {
-            boolean deadlinePassed = now >= admitted.deadline();
-            ErrorCode code = deadlinePassed ? ErrorCode.DEADLINE_EXCEEDED : ErrorCode.TARGET_FAILED;
-            responder.refuse(Refusal.notRun(code, "No answer of a target: " + reason + ".")
-                    .withOutcome(RunOutcome.UNKNOWN));
-            finish("failed", Category.FAILURE, reason);
+            finish("aborted", Category.FAILURE, failure.reason());
         } else {
-            responder.refuse(refusal);
-            finish("refused", Category.FAILURE, reason);
+            responder.refuse(failure.response(history.mayHaveRun()));
+            finish(history.mayHaveRun() ? "failed" : "refused", Category.FAILURE, failure.reason());
         }
     }
 
     private void onDeadline() {
-        if (!ended) {
-            ForwardingAttempt attempt = current;
-            giveUp(GatewayClock.now(), "deadline passed");
-            if (attempt != null) {
-                attempt.cancel();
-            }
+        giveUp(GatewayClock.now(), "deadline passed");
+        cancelAttempt();
+    }
+
+    void onProcessEnd(Refusal refusalIfNotRun) {
+        fail(new RequestFailure("the gateway stops", refusalIfNotRun, ErrorCode.RUN_UNKNOWN));
+        cancelAttempt();
+    }
+
+    private void cancelAttempt() {
+        if (current != null) {
+            current.cancel();
         }
     }
 
     @Override
     public void onDisconnect() {
         if (!ended) {
-            ForwardingAttempt attempt = current;
             finish("caller-gone", Category.ROUTINE, "caller closed its connection");
-            if (attempt != null) {
-                attempt.cancel();
-            }
+            cancelAttempt();
         }
     }
 
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -64,8 +66,8 @@
 
     private boolean admitting = true;
 
-    /** Number of requests in progress. */
-    private int openRequests;
+    /** The requests in progress. */
+    private final Set<ForwardedRequest> openRequests = new HashSet<>();
 
     /**
      * Creates a forwarder without targets.
@@ -113,7 +115,7 @@
      * @return the number of admitted requests whose response has not ended
      */
     public int openRequests() {
-        return openRequests;
+        return openRequests.size();
     }
 
     /**
@@ -130,12 +132,24 @@
         admitting = false;
     }
 
+    /**
+     * Ends all requests in progress and refuses further ones. A response that has begun is aborted; other callers are told
+     * whether their request may have run.
+     */
+    public void endRequests() {
+        stopAdmitting();
+        List.copyOf(openRequests).forEach(forwarded -> forwarded.onProcessEnd(stoppingRefusal()));
+    }
+
+    private static Refusal stoppingRefusal() {
+        return Refusal.notRun(ErrorCode.NOT_READY, "The gateway is stopping.").withRetryAfter(STOPPING_RETRY_DELAY);
+    }
+
     @Override
     public Listener begin(InboundRequest request, Responder responder) {
         if (!admitting) {
             metrics.recordRejection(ErrorCode.NOT_READY.wireName());
-            responder.refuse(Refusal.notRun(ErrorCode.NOT_READY, "The gateway is stopping.")
-                    .withRetryAfter(STOPPING_RETRY_DELAY));
+            responder.refuse(stoppingRefusal());
             return RefusedRequestListener.INSTANCE;
         }
         GatewayClock now = GatewayClock.read();
@@ -156,7 +170,7 @@
         budgets.put(service, budget(service, now.monotonic()).earn(budgetLimits()));
         ForwardedRequest forwarded =
                 new ForwardedRequest(this, request, responder, admitted, demand(request, admitted));
-        openRequests++;
+        openRequests.add(forwarded);
         forwarded.begin();
         return forwarded;
     }
@@ -265,7 +279,7 @@
         long tookMillis = GatewayClock.now() - forwarded.request().arrivedAt();
         metrics.recordEnd(
                 forwarded.demand(), outcome, tookMillis, forwarded.framer().longestInterTokenMillis());
-        openRequests--;
+        openRequests.remove(forwarded);
     }
 
     DecisionLog decisionLog() {
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/RequestDrain.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/RequestDrain.java
@@ -8,7 +8,10 @@
 import org.bamboohatch.gateway.GatewayClock;
 import org.bamboohatch.gateway.http.CallerServer;
 
-/** Ends the work of a gateway that stops: lets load balancers remove it and requests in progress end. */
+/**
+ * Ends the work of a gateway that stops. Lets load balancers remove it and requests in progress end, and answers those that
+ * are still in progress when the time is over.
+ */
 public final class RequestDrain {
 
     private static final Logger LOGGER = LogManager.getLogger(RequestDrain.class);
@@ -54,6 +57,9 @@
             if (elapsed >= schedule.admissionMillis()) {
                 loop.execute(forwarder::stopAdmitting);
             }
+            if (elapsed >= schedule.answerMillis()) {
+                loop.execute(forwarder::endRequests);
+            }
             long idleTimeout = elapsed < schedule.removalMillis() ? Long.MAX_VALUE : IDLE_TIMEOUT_MS;
             open = loop.submit(() -> callers.closeIdle(idleTimeout))
                     .syncUninterruptibly()
--- /dev/null
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/RequestDrainTest.java
@@ -0,0 +1,85 @@
+package org.bamboohatch.gateway.forward;
+
+import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Supplier;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.bamboohatch.gateway.forward.GatewayHarness.request;
+
+/** A stopping gateway answers what it cannot finish before its process ends. */
+@Timeout(30)
+class RequestDrainTest {
+
+    private static final DrainSchedule SHORT = new DrainSchedule(100, 200, 1_000, 1_600);
+
+    private final CountDownLatch testOver = new CountDownLatch(1);
+
+    /** Sends a request, stops the gateway once the target has it, and returns what the caller receives until the process ends. */
+    private String callDuringDrain(GatewayHarness gateway, FakeTarget target, String request) throws Exception {
+        CompletableFuture<String> response = CompletableFuture.supplyAsync(call(gateway, request));
+        while (target.received.isEmpty()) {
+            Thread.sleep(1);
+        }
+        gateway.drainAndExit(SHORT);
+        testOver.countDown();
+        return response.get();
+    }
+
+    private static Supplier<String> call(GatewayHarness gateway, String request) {
+        return () -> {
+            try {
+                return gateway.call(request);
+            } catch (IOException closed) {
+                return "";
+            }
+        };
+    }
+
+    /** Guards against a request whose target is still at work being cut off without an answer by the end of the process. */
+    @Test
+    void aNonRepeatableRequestThatOutlastsTheDrainIsAnsweredAsUnknown() throws Exception {
+        assertAnsweredAsUnknown("/order/x");
+    }
+
+    @Test
+    void aRepeatableRequestThatOutlastsTheDrainIsAnsweredAsUnknown() throws Exception {
+        assertAnsweredAsUnknown("/read/x");
+    }
+
+    private void assertAnsweredAsUnknown(String path) throws Exception {
+        FakeTarget.Script silent = (received, connection) -> {
+            testOver.await();
+            return false;
+        };
+        try (FakeTarget target = new FakeTarget(silent);
+                GatewayHarness gateway = new GatewayHarness(target)) {
+            String text = callDuringDrain(gateway, target, request("POST", path, "a1", "", "crates"));
+            assertThat(text)
+                    .startsWith("HTTP/1.1 504")
+                    .containsIgnoringCase("connection: close")
+                    .contains("\"outcome\":\"unknown\"");
+            assertThat(target.received).hasSize(1);
+        }
+    }
+
+    /** Guards against a stream that the end of the process cuts off looking complete. */
+    @Test
+    void aStreamThatOutlastsTheDrainIsAborted() throws Exception {
+        FakeTarget.Script endless = (received, connection) -> {
+            FakeTarget.write(
+                    connection, FakeTarget.streamHead(received.id(), "s") + FakeTarget.chunk("id: 1\ndata: a\n\n"));
+            testOver.await();
+            return false;
+        };
+        try (FakeTarget target = new FakeTarget(endless);
+                GatewayHarness gateway = new GatewayHarness(target)) {
+            String text = callDuringDrain(gateway, target, request("POST", "/stream/x", "a1", "", "prompt"));
+            assertThat(text).startsWith("HTTP/1.1 200").contains("data: a").doesNotContain("\r\n0\r\n");
+        }
+    }
+}
