Refuse the requests that a stopping gateway is still receiving

A caller that was still sending its request when the drain of a gateway was over saw its connection end without an answer. Nothing of such a request has run, so its caller may be told to send it to another gateway at once; without an answer the caller of a request that may not be repeated cannot know that.

The cause: the drain waited for such a connection like for one with a request in progress, and then left it open. Now it is refused at the end of the drain's answer phase as not run, with a delay to come back and the end of the connection. It is not refused at the end of the admission already: a request that is complete by then is refused there anyway, and a body that is on its way is read meanwhile, so that closing does not reset the connection under it.

RequestDrainTest failed before: expecting actual "" to start with "HTTP/1.1 503".

--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
@@ -141,7 +141,7 @@
         List.copyOf(openRequests).forEach(forwarded -> forwarded.onProcessEnd(stoppingRefusal()));
     }
 
-    private static Refusal stoppingRefusal() {
+    static Refusal stoppingRefusal() {
         return Refusal.notRun(ErrorCode.NOT_READY, "The gateway is stopping.").withRetryAfter(STOPPING_RETRY_DELAY);
     }
 
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/RequestDrain.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/RequestDrain.java
@@ -59,6 +59,7 @@
             }
             if (elapsed >= schedule.answerMillis()) {
                 loop.execute(forwarder::endRequests);
+                loop.execute(() -> callers.refuseIncomplete(Forwarder.stoppingRefusal()));
             }
             long idleTimeout = elapsed < schedule.removalMillis() ? Long.MAX_VALUE : IDLE_TIMEOUT_MS;
             open = loop.submit(() -> callers.closeIdle(idleTimeout))
--- a/gateway/src/main/java/org/bamboohatch/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/http/CallerConnection.java
@@ -237,12 +237,16 @@
      * @param message error message for the caller
      */
     private void refuseAndClose(ErrorCode code, String message) {
+        refuseAndClose(Refusal.notRun(code, message));
+    }
+
+    private void refuseAndClose(Refusal refusal) {
         head = null;
         body = null;
         exchange = new Exchange(false, false);
         stage = Stage.RESPONSE;
-        server.logRejection(code);
-        exchange.refuse(Refusal.notRun(code, message));
+        server.logRejection(refusal.code());
+        exchange.refuse(refusal);
     }
 
     /** Continues with the queued messages after a response, and resumes reading if none is left. */
@@ -274,6 +278,17 @@
         }
     }
 
+    /**
+     * Refuses the request that is being read, if any, and closes the connection.
+     *
+     * @param refusal error for the caller
+     */
+    void refuseIncomplete(Refusal refusal) {
+        if (stage == Stage.HEAD || stage == Stage.BODY) {
+            refuseAndClose(refusal);
+        }
+    }
+
     /**
      * Closes the connection if it has been idle for some time.
      *
--- a/gateway/src/main/java/org/bamboohatch/gateway/http/CallerServer.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/http/CallerServer.java
@@ -21,6 +21,7 @@
 import org.bamboohatch.document.fleet.CallerLimits;
 import org.bamboohatch.gateway.GatewayClock;
 import org.bamboohatch.kernel.outcome.ErrorCode;
+import org.bamboohatch.kernel.outcome.Refusal;
 import org.bamboohatch.kernel.service.Service;
 
 /**
@@ -125,6 +126,15 @@
         stopping = true;
     }
 
+    /**
+     * Refuses the requests that are being received. Must be called on the callers' event loop.
+     *
+     * @param refusal error for their callers
+     */
+    public void refuseIncomplete(Refusal refusal) {
+        List.copyOf(connections).forEach(connection -> connection.refuseIncomplete(refusal));
+    }
+
     /**
      * Closes connections on which no request is in progress. Must be called on the callers' event loop.
      *
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
@@ -245,9 +245,13 @@
                 + "\r\nApi-Key: key-1\r\nConnection: close\r\n" + moreHeaders + length + "\r\n" + body;
     }
 
+    void drain(DrainSchedule schedule) {
+        new RequestDrain(loop, forwarder, callers, schedule).run();
+    }
+
     /** Drains the gateway, then ends like a process: no connection remains open. */
     void drainAndExit(DrainSchedule schedule) throws InterruptedException {
-        new RequestDrain(loop, forwarder, callers, schedule).run();
+        drain(schedule);
         loop.parent().shutdownGracefully(0, 0, TimeUnit.SECONDS).sync();
     }
 
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/RequestDrainTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/RequestDrainTest.java
@@ -1,6 +1,8 @@
 package org.bamboohatch.gateway.forward;
 
 import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Supplier;
@@ -82,4 +84,21 @@
             assertThat(text).startsWith("HTTP/1.1 200").contains("data: a").doesNotContain("\r\n0\r\n");
         }
     }
+
+    /** Guards against a request whose body is still being received being cut off by the end of the process. */
+    @Test
+    void aRequestThatIsIncompleteAtTheEndOfTheDrainIsRefusedAsNotRun() throws Exception {
+        try (GatewayHarness gateway = new GatewayHarness();
+                Socket caller = gateway.connect()) {
+            String request = request("POST", "/order/x", "a1", "", "crates");
+            caller.getOutputStream()
+                    .write(request.substring(0, request.length() - 1).getBytes(StandardCharsets.UTF_8));
+            gateway.drainAndExit(SHORT);
+            assertThat(GatewayHarness.readAll(caller.getInputStream()))
+                    .startsWith("HTTP/1.1 503")
+                    .containsIgnoringCase("connection: close")
+                    .containsIgnoringCase("retry-after: 0.02")
+                    .contains("not-run");
+        }
+    }
 }
