Accept no connection after the last check of a gateway's drain

A caller whose connection was accepted between the last check of a gateway's drain and the end of its process could have its request passed on and cut off. The drain ended as soon as no connection was open 2.5 s after the signal, while the server still accepted connections and, until 2.8 s, the gateway still admitted requests; the process then closed its other services and ended.

The window is as long as the threads take from the check to the closed port, which is longer on a busy machine.

The drain now closes the port itself, on the event loop, once admission is over and no connection is open, or when requests in progress are ended. It has finished when a later check finds no open connection behind the closed port. A process that is stopped while it starts no longer fails for want of a listening channel.

RequestDrainTest failed before: expecting code to raise a throwable, as a connection after the drain succeeded.

--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/RequestDrain.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/RequestDrain.java
@@ -10,7 +10,7 @@
 
 /**
  * Ends the work of a gateway that stops. Lets load balancers remove it and requests in progress end, and answers those that
- * are still in progress when the time is over.
+ * are still in progress when the time is over. The process may end when the drain has ended.
  */
 public final class RequestDrain {
 
@@ -50,23 +50,43 @@
         loop.execute(callers::beginStop);
         long startedAt = GatewayClock.now();
         long elapsed = 0;
-        int open = 1;
-        while (elapsed < schedule.endMillis() && (elapsed < schedule.removalMillis() || open > 0)) {
+        boolean finished = false;
+        while (!finished && elapsed < schedule.endMillis()) {
             awaitNextCheck();
             elapsed = GatewayClock.now() - startedAt;
-            if (elapsed >= schedule.admissionMillis()) {
-                loop.execute(forwarder::stopAdmitting);
-            }
-            if (elapsed >= schedule.answerMillis()) {
-                loop.execute(forwarder::endRequests);
-                loop.execute(() -> callers.refuseIncomplete(Forwarder.stoppingRefusal()));
-            }
-            long idleTimeout = elapsed < schedule.removalMillis() ? Long.MAX_VALUE : IDLE_TIMEOUT_MS;
-            open = loop.submit(() -> callers.closeIdle(idleTimeout))
-                    .syncUninterruptibly()
-                    .getNow();
+            finished = finishes(elapsed);
         }
-        LOGGER.info("gateway: stopping after {} ms with {} connections open", elapsed, open);
+        LOGGER.info("gateway: stopping after {} ms, {}", elapsed, finished ? "drained" : "with open connections");
+    }
+
+    private boolean finishes(long elapsed) {
+        return loop.submit(() -> check(elapsed)).syncUninterruptibly().getNow();
+    }
+
+    /**
+     * Ends the phases that are over and closes idle connections; runs on the event loop.
+     *
+     * @param elapsed time since the signal to stop, in milliseconds
+     * @return whether no connection is open and none will be accepted
+     */
+    private boolean check(long elapsed) {
+        boolean admissionOver = elapsed >= schedule.admissionMillis();
+        boolean answersOver = elapsed >= schedule.answerMillis();
+        if (admissionOver) {
+            forwarder.stopAdmitting();
+        }
+        if (answersOver) {
+            forwarder.endRequests();
+            callers.refuseIncomplete(Forwarder.stoppingRefusal());
+        }
+        int open = callers.closeIdle(elapsed < schedule.removalMillis() ? Long.MAX_VALUE : IDLE_TIMEOUT_MS);
+        boolean finished = open == 0 && !callers.isAccepting();
+        // A caller learns more from a refusal than from a closed port, so the server accepts for as long as there is
+        // work.
+        if (answersOver || admissionOver && open == 0) {
+            callers.stopAccepting();
+        }
+        return finished;
     }
 
     private static void awaitNextCheck() {
--- a/gateway/src/main/java/org/bamboohatch/gateway/http/CallerServer.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/http/CallerServer.java
@@ -59,7 +59,8 @@
     /** The open connections; confined to the callers' event loop. */
     private final Set<CallerConnection> connections = new HashSet<>();
 
-    private Channel serverChannel;
+    /** The listening channel, null until the server is started. */
+    private volatile Channel serverChannel;
 
     /** Whether responses ask callers to close their connections; confined to the callers' event loop. */
     private boolean stopping;
@@ -112,7 +113,9 @@
 
     @Override
     public void stop() {
-        serverChannel.close().awaitUninterruptibly();
+        if (serverChannel != null) {
+            serverChannel.close().awaitUninterruptibly();
+        }
     }
 
     private void enforceTimeouts() {
@@ -121,6 +124,22 @@
         List.copyOf(connections).forEach(connection -> connection.enforceTimeouts(currentLimits, now));
     }
 
+    /** Accepts no more connections; open ones are still served. Must be called on the callers' event loop. */
+    public void stopAccepting() {
+        if (isAccepting()) {
+            serverChannel.close();
+        }
+    }
+
+    /**
+     * Indicates whether connections are accepted.
+     *
+     * @return whether the server is started and listens
+     */
+    public boolean isAccepting() {
+        return serverChannel != null && serverChannel.isOpen();
+    }
+
     /** Makes all further responses ask callers to close their connections. Must be called on the callers' event loop. */
     public void beginStop() {
         stopping = true;
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/RequestDrainTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/RequestDrainTest.java
@@ -1,6 +1,7 @@
 package org.bamboohatch.gateway.forward;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
@@ -11,6 +12,7 @@
 import org.junit.jupiter.api.Timeout;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 import static org.bamboohatch.gateway.forward.GatewayHarness.request;
 
 /** A stopping gateway answers what it cannot finish before its process ends. */
@@ -101,4 +103,13 @@
                     .contains("not-run");
         }
     }
+
+    /** Guards against a connection that is accepted after the last check being cut off by the end of the process. */
+    @Test
+    void noConnectionIsAcceptedAfterTheDrain() throws Exception {
+        try (GatewayHarness gateway = new GatewayHarness()) {
+            gateway.drain(new DrainSchedule(0, 0, 20_000, 20_000));
+            assertThatThrownBy(gateway::connect).isInstanceOf(ConnectException.class);
+        }
+    }
 }
