End the admission of a stopping gateway by time, not at the next check

In a stop of a real gateway, requests that were sent 2.85 s and 2.92 s after the signal were passed on, although admission ends after 2.8 s. The thread that drains told the event loop at its next check, 100 ms apart and later when the process gets little processor time; a check that waits for the event loop delays the one after it. A caller whose request is admitted late has less of the drain left.

The forwarder is told at the beginning of the drain when admission ends, and compares with the time at which a request is to be admitted.

RequestDrainTest failed with this comparison switched off: "HTTP/1.1 502 Bad Gateway" in place of a refusal, as the target had got the request.

--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
@@ -64,7 +64,8 @@
 
     private final GatewayMetrics metrics;
 
-    private boolean admitting = true;
+    /** Monotonic time from which on requests are refused, in milliseconds. */
+    private long admissionEndsAt = Long.MAX_VALUE;
 
     /** The requests in progress. */
     private final Set<ForwardedRequest> openRequests = new HashSet<>();
@@ -129,7 +130,17 @@
 
     /** Refuses all further requests, because the end of the process could cut off their responses. */
     public void stopAdmitting() {
-        admitting = false;
+        admissionEndsAt = Long.MIN_VALUE;
+    }
+
+    /**
+     * Sets the time from which on requests are refused.
+     *
+     * @param schedule phases of the drain
+     * @param now current time, at which the drain begins, in milliseconds
+     */
+    public void beginDrain(DrainSchedule schedule, long now) {
+        admissionEndsAt = now + schedule.admissionMillis();
     }
 
     /**
@@ -147,12 +158,12 @@
 
     @Override
     public Listener begin(InboundRequest request, Responder responder) {
-        if (!admitting) {
+        GatewayClock now = GatewayClock.read();
+        if (now.monotonic() >= admissionEndsAt) {
             metrics.recordRejection(ErrorCode.NOT_READY.wireName());
             responder.refuse(stoppingRefusal());
             return RefusedRequestListener.INSTANCE;
         }
-        GatewayClock now = GatewayClock.read();
         AdmissionResult result = requestAdmission.decide(request, configuration.view(), configuration.ageMillis(now));
         if (result instanceof Refused refused) {
             log.line(Category.FAILURE, "turned-away")
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/RequestDrain.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/RequestDrain.java
@@ -47,8 +47,9 @@
 
     /** Drains the gateway; returns when no connection is open or the time is over. */
     public void run() {
-        loop.execute(callers::beginStop);
         long startedAt = GatewayClock.now();
+        loop.execute(callers::beginStop);
+        loop.execute(() -> forwarder.beginDrain(schedule, startedAt));
         long elapsed = 0;
         boolean finished = false;
         while (!finished && elapsed < schedule.endMillis()) {
@@ -72,9 +73,6 @@
     private boolean check(long elapsed) {
         boolean admissionOver = elapsed >= schedule.admissionMillis();
         boolean answersOver = elapsed >= schedule.answerMillis();
-        if (admissionOver) {
-            forwarder.stopAdmitting();
-        }
         if (answersOver) {
             forwarder.endRequests();
             callers.refuseIncomplete(Forwarder.stoppingRefusal());
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
@@ -245,6 +245,11 @@
                 + "\r\nApi-Key: key-1\r\nConnection: close\r\n" + moreHeaders + length + "\r\n" + body;
     }
 
+    /** Begins a drain whose checks are late. */
+    void beginDrain(DrainSchedule schedule) throws InterruptedException {
+        loop.submit(() -> forwarder.beginDrain(schedule, GatewayClock.now())).sync();
+    }
+
     void drain(DrainSchedule schedule) {
         new RequestDrain(loop, forwarder, callers, schedule).run();
     }
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/RequestDrainTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/RequestDrainTest.java
@@ -112,4 +112,17 @@
             assertThatThrownBy(gateway::connect).isInstanceOf(ConnectException.class);
         }
     }
+
+    /** Guards against requests being admitted late, and cut off, because the thread that drains is delayed. */
+    @Test
+    void theEndOfTheAdmissionDoesNotWaitForTheNextCheck() throws Exception {
+        try (FakeTarget target = new FakeTarget((received, connection) -> false);
+                GatewayHarness gateway = new GatewayHarness(target)) {
+            gateway.beginDrain(new DrainSchedule(0, 0, 20_000, 20_000));
+            assertThat(gateway.call(request("POST", "/order/x", "a1", "", "crates")))
+                    .startsWith("HTTP/1.1 503")
+                    .contains("not-run");
+            assertThat(target.received).isEmpty();
+        }
+    }
 }
