Refuse requests that a stopping gateway cannot finish

A request that was admitted while a gateway stopped, and whose target needs longer than what is left of the drain, used its target in vain: its caller got a broken stream, or learned after seconds that the outcome is unknown, although another gateway would have taken it at once.

From the beginning of the drain, a request is refused as not run if its response is not expected before requests in progress are ended. What is expected is the target latency of its route, or the time that its service's engines take for a generation of its length with all slots taken, if that is longer. The delay to come back and the end of the connection are those of any refusal of a stopping gateway. How long a target of a plain service takes is not known; such a request may still be ended by the drain.

RequestDrainTest failed before: "HTTP/1.1 200 OK" in place of "HTTP/1.1 503" for a generation of 40,000 tokens in a drain of 20 s; one of 40 tokens is still served.

--- a/document/src/main/java/org/bamboohatch/document/fleet/EngineCostModel.java
+++ b/document/src/main/java/org/bamboohatch/document/fleet/EngineCostModel.java
@@ -72,4 +72,17 @@
                 + millisPerThousandContextTokens * contextTokens / THOUSAND;
         return stepsPerPass * step;
     }
+
+    /**
+     * Predicts the time that an engine takes to generate a response while its other slots decode after mean prompts.
+     *
+     * @param promptTokens length of the prompt, in tokens
+     * @param outputTokens length of the output, in tokens
+     * @return the time until the response is complete, in milliseconds
+     */
+    public double generationMillis(long promptTokens, long outputTokens) {
+        double contextTokens = promptTokens + (slots - 1) * meanPromptTokens;
+        double passes = Math.ceil((double) outputTokens / stepsPerPass);
+        return prefillMillis(promptTokens) + passes * decodePassMillis(slots, contextTokens);
+    }
 }
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
@@ -67,6 +67,9 @@
     /** Monotonic time from which on requests are refused, in milliseconds. */
     private long admissionEndsAt = Long.MAX_VALUE;
 
+    /** Monotonic time at which requests in progress are ended, in milliseconds; infinite unless a drain has begun. */
+    private double answersEndAt = Double.POSITIVE_INFINITY;
+
     /** The requests in progress. */
     private final Set<ForwardedRequest> openRequests = new HashSet<>();
 
@@ -134,13 +137,14 @@
     }
 
     /**
-     * Sets the time from which on requests are refused.
+     * Sets the times from which on requests are refused and at which those in progress are ended.
      *
      * @param schedule phases of the drain
      * @param now current time, at which the drain begins, in milliseconds
      */
     public void beginDrain(DrainSchedule schedule, long now) {
         admissionEndsAt = now + schedule.admissionMillis();
+        answersEndAt = now + schedule.answerMillis();
     }
 
     /**
@@ -160,9 +164,7 @@
     public Listener begin(InboundRequest request, Responder responder) {
         GatewayClock now = GatewayClock.read();
         if (now.monotonic() >= admissionEndsAt) {
-            metrics.recordRejection(ErrorCode.NOT_READY.wireName());
-            responder.refuse(stoppingRefusal());
-            return RefusedRequestListener.INSTANCE;
+            return refuse(stoppingRefusal(), responder);
         }
         AdmissionResult result = requestAdmission.decide(request, configuration.view(), configuration.ageMillis(now));
         if (result instanceof Refused refused) {
@@ -172,20 +174,42 @@
                     .with("configuration", configuration.view().configurationVersion())
                     .with("ageMs", configuration.ageMillis(now))
                     .write();
-            metrics.recordRejection(refused.refusal().code().wireName());
-            responder.refuse(refused.refusal());
-            return RefusedRequestListener.INSTANCE;
+            return refuse(refused.refusal(), responder);
         }
         Admitted admitted = (Admitted) result;
+        Demand demand = demand(request, admitted);
+        if (now.monotonic() + expectedMillis(admitted, demand) > answersEndAt) {
+            return refuse(stoppingRefusal(), responder);
+        }
         ServiceName service = admitted.service().name();
         budgets.put(service, budget(service, now.monotonic()).earn(budgetLimits()));
-        ForwardedRequest forwarded =
-                new ForwardedRequest(this, request, responder, admitted, demand(request, admitted));
+        ForwardedRequest forwarded = new ForwardedRequest(this, request, responder, admitted, demand);
         openRequests.add(forwarded);
         forwarded.begin();
         return forwarded;
     }
 
+    private Listener refuse(Refusal refusal, Responder responder) {
+        metrics.recordRejection(refusal.code().wireName());
+        responder.refuse(refusal);
+        return RefusedRequestListener.INSTANCE;
+    }
+
+    /**
+     * Estimates how long a request takes. A generation may outlast the target latency, which is that of its first event.
+     *
+     * @param admitted route, service and deadline of the request
+     * @param demand what the request needs from a target
+     * @return the expected time until the response is complete, in milliseconds
+     */
+    private static double expectedMillis(Admitted admitted, Demand demand) {
+        double generationMillis = admitted.service()
+                .engineCostModel()
+                .map(engine -> engine.generationMillis(demand.promptTokens(), demand.outputTokens()))
+                .orElse(0.0);
+        return Math.max(demand.targetLatencyMillis(), generationMillis);
+    }
+
     /**
      * Derives from the header fields of a request what it needs from a target. Token counts are taken into account for
      * services with model engines only; the caller's estimate can only lower the number of output tokens.
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/RequestDrainTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/RequestDrainTest.java
@@ -125,4 +125,23 @@
             assertThat(target.received).isEmpty();
         }
     }
+
+    /** Guards against a request being passed on that the end of the process is bound to cut off. */
+    @Test
+    void aRequestThatCannotEndWithinTheDrainIsRefusedAsNotRun() throws Exception {
+        try (FakeTarget target = new FakeTarget((received, connection) -> {
+                    FakeTarget.write(connection, FakeTarget.answer(received.id(), "crates"));
+                    return true;
+                });
+                GatewayHarness gateway = new GatewayHarness(target)) {
+            gateway.beginDrain(new DrainSchedule(20_000, 20_000, 20_000, 20_000));
+            assertThat(gateway.call(request("POST", "/generate/x", "a1", "Token-Counts: 100,40000\r\n", "prompt")))
+                    .startsWith("HTTP/1.1 503")
+                    .containsIgnoringCase("retry-after: 0.02")
+                    .contains("not-run");
+            assertThat(target.received).isEmpty();
+            assertThat(gateway.call(request("POST", "/generate/x", "a2", "Token-Counts: 100,40\r\n", "prompt")))
+                    .startsWith("HTTP/1.1 200");
+        }
+    }
 }
