Check again whether an entry stops when the body of a request has arrived

A caller whose body was still on its way when an entry was stopped could have its request admitted after the entry had found that no admitted request was left; the process then ended under it.

The entry asked its gate before it read the body, and not again before it handed the request to the dispatcher, which counts it as open only from then on. It now asks at both places. The first one stays: a request that would be refused is not read.

EntryStopTest failed before: the request passed the gate after its stop and got the answer of the configuration, "HTTP/1.1 404 Not Found", in place of "HTTP/1.1 503".

--- a/entry/src/main/java/org/bamboohatch/entry/http/CallerHandler.java
+++ b/entry/src/main/java/org/bamboohatch/entry/http/CallerHandler.java
@@ -113,23 +113,36 @@
     }
 
     private void readBody(HttpExchange exchange, BodyHandler handler) {
-        if (!gate.acceptsRequests()) {
-            exchange.response().getHeaders().put(HttpHeader.CONNECTION, "close");
-            exchange.refuse(Refusal.notRun(ErrorCode.NOT_READY, "The entry is stopping.")
-                    .withRetryAfter(Duration.ofSeconds(1)));
+        if (refuseWhileStopping(exchange)) {
             return;
         }
         CompletableFuture<Result<byte[], Refusal>> bodyFuture = BodyReader.read(exchange.request(), MAX_BODY_BYTES);
         bodyFuture.thenAccept(result -> {
             if (result instanceof Result.Failure<byte[], Refusal> failure) {
                 exchange.refuse(failure.problem());
-            } else {
+            } else if (!refuseWhileStopping(exchange)) {
                 byte[] body = ((Result.Success<byte[], Refusal>) result).value();
                 handler.handle(body).ifPresent(exchange::refuse);
             }
         });
     }
 
+    /**
+     * Refuses a request if the entry has begun to stop. The body of a request may have arrived after that.
+     *
+     * @param exchange the HTTP request and response
+     * @return whether the request was refused
+     */
+    private boolean refuseWhileStopping(HttpExchange exchange) {
+        if (gate.acceptsRequests()) {
+            return false;
+        }
+        exchange.response().getHeaders().put(HttpHeader.CONNECTION, "close");
+        exchange.refuse(
+                Refusal.notRun(ErrorCode.NOT_READY, "The entry is stopping.").withRetryAfter(Duration.ofSeconds(1)));
+        return true;
+    }
+
     private void listModels(HttpExchange exchange) {
         var models = configuration.snapshot().services().values().stream()
                 .flatMap(service -> service.document().models().stream())
