Let a stop of the HTTP server wait for responses that are being read

A caller of an entry that read a large response slowly got only a part of it when the entry was stopped: the entry counts a request as ended when its response is handed to the HTTP server, and the server's stop closed all connections at once, also those with unsent bytes.

The server now keeps count of its responses and waits until they are written, for 2 s at most. Requests that arrive meanwhile are refused by it; idle connections do not delay it. The same server answers operators of the control processes and the stand-ins.

--- a/http/src/main/java/org/bamboohatch/http/HttpServerService.java
+++ b/http/src/main/java/org/bamboohatch/http/HttpServerService.java
@@ -1,5 +1,7 @@
 package org.bamboohatch.http;
 
+import java.util.concurrent.TimeUnit;
+
 import org.bamboohatch.kernel.service.Service;
 import org.eclipse.jetty.http2.server.HTTP2CServerConnectionFactory;
 import org.eclipse.jetty.server.Handler;
@@ -7,9 +9,13 @@
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.server.handler.GracefulHandler;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
-/** Serves HTTP/1.1 and cleartext HTTP/2, with a header size limit and an idle timeout of connections. */
+/**
+ * Serves HTTP/1.1 and cleartext HTTP/2, with a header size limit and an idle timeout of connections. A stop waits for a
+ * short time until responses in progress are written.
+ */
 public final class HttpServerService implements Service {
 
     private static final long IDLE_TIMEOUT_MS = 60_000;
@@ -20,10 +26,16 @@
 
     private static final int MIN_THREADS = 4;
 
+    /** Time that a stop waits for responses in progress. */
+    private static final long STOP_TIMEOUT_MS = 2_000;
+
     private final String address;
 
     private final Server server;
 
+    /** Knows the responses that are not completely written. */
+    private final GracefulHandler responses = new GracefulHandler();
+
     /**
      * Creates a server that does not listen yet.
      *
@@ -49,7 +61,8 @@
         connector.setIdleTimeout(IDLE_TIMEOUT_MS);
         connector.setAcceptQueueSize(ACCEPT_BACKLOG);
         server.addConnector(connector);
-        server.setHandler(handler);
+        responses.setHandler(handler);
+        server.setHandler(responses);
     }
 
     @Override
@@ -63,6 +76,10 @@
 
     @Override
     public void stop() {
+        responses
+                .shutdown()
+                .completeOnTimeout(null, STOP_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+                .join();
         try {
             server.stop();
         } catch (Exception failed) {
