Lose a plain service's response whose connection was reset

A response may have neither a length nor chunks and end with its connection. When the agent's connection to a plain service was reset after a part of such a body, the caller got that part as the whole response, with the service's status.

Cause: the end point of Jetty's client takes a failed read for the end of the connection, so that a reset and an orderly close look the same to the parser. The agent's client now has an end point that reports the failure.

Ruled out: resets of responses with a length or chunks, and heads that stop in their middle, failed before too; these had no test and have one now, for a close, a reset and a target that ends.

Before, PlainResponseTest.aResetIsNotTheEndOfAResponse: expected "failed ", but was "200 text/plain half".

--- a/agent/src/main/java/org/bamboohatch/agent/AgentModule.java
+++ b/agent/src/main/java/org/bamboohatch/agent/AgentModule.java
@@ -5,14 +5,13 @@
 import dagger.Module;
 import dagger.Provides;
 import org.bamboohatch.agent.driver.TargetDriver;
+import org.bamboohatch.agent.driver.TargetHttpClient;
 import org.bamboohatch.kernel.event.Timeline;
 import org.bamboohatch.kernel.plugin.Plugins;
 import org.bamboohatch.protocol.client.ControlCalls;
 import org.bamboohatch.protocol.client.ControlClient;
 import org.bamboohatch.protocol.transport.Network;
 import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
-import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /** Dagger module that provides the shared objects of an agent process. */
@@ -52,9 +51,7 @@
     @Provides
     @Singleton
     static HttpClient httpClient() {
-        ClientConnector connector = new ClientConnector();
-        connector.setSelectors(1);
-        HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+        HttpClient client = new TargetHttpClient();
         QueuedThreadPool threads = new QueuedThreadPool(HTTP_CLIENT_THREADS, 1);
         threads.setReservedThreads(0);
         client.setExecutor(threads);
--- /dev/null
+++ b/agent/src/test/java/org/bamboohatch/agent/driver/PlainResponseTest.java
@@ -0,0 +1,95 @@
+package org.bamboohatch.agent.driver;
+
+import org.bamboohatch.agent.driver.ScriptedTarget.End;
+import org.eclipse.jetty.client.HttpClient;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Responses of plain services: each reaches the caller whole, or the run has failed. */
+@Timeout(60)
+class PlainResponseTest {
+
+    private final HttpClient client = new TargetHttpClient();
+
+    @BeforeEach
+    void start() throws Exception {
+        client.start();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        client.stop();
+    }
+
+    private String run(String response, End end) throws Exception {
+        RecordedRun run = new RecordedRun();
+        try (ScriptedTarget target = ScriptedTarget.answering(response.replace("|", "\r\n"), end)) {
+            new PlainDriver().connect(client, target.url()).run(RecordedRun.dispatch(), run);
+            return run.awaitEnd();
+        }
+    }
+
+    /** Guards against a head that stops in its middle and ends as a response without a body. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.",
+                "HTTP/1.1 20",
+                "HTTP/1.1 200",
+                "HTTP/1.1 200 OK",
+                "HTTP/1.1 200 OK|",
+                "HTTP/1.1 200 OK|Content-Ty",
+                "HTTP/1.1 200 OK|Content-Length: 0",
+                "HTTP/1.1 200 OK|Content-Length: 0|",
+                "HTTP/1.1 103 Early Hints||",
+                "HTTP/1.1 100 Continue||HTTP/1.1 200 OK|Content-Length: 0|"
+            })
+    void aHeadThatStopsInItsMiddleIsNoResponse(String response) throws Exception {
+        for (End end : End.values()) {
+            assertThat(run(response, end)).as(end.name()).isEqualTo("failed ");
+        }
+    }
+
+    /** Guards against a part of a body that ends as the whole. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK|Content-Length: 8||half",
+                "HTTP/1.1 200 OK|Content-Length: 4|Content-Length: 8||halfmore",
+                "HTTP/1.1 200 OK|Content-Length:||half",
+                "HTTP/1.1 200 OK|Transfer-Encoding: chunked||4|half|",
+                "HTTP/1.1 200 OK|Transfer-Encoding: chunked||8|half",
+                "HTTP/1.1 200 OK|Transfer-Encoding: chunked||4|half|0|Trail",
+                "HTTP/1.1 200 OK|Transfer-Encoding: chunked|Content-Length: 2||4|half|0||"
+            })
+    void aBodyThatStopsInItsMiddleIsNoResponse(String response) throws Exception {
+        for (End end : End.values()) {
+            assertThat(run(response, end)).as(end.name()).isEqualTo("failed ");
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(End.class)
+    void aWholeBodyIsDeliveredHoweverItsConnectionEnds(End end) throws Exception {
+        assertThat(run("HTTP/1.1 200 OK|Content-Type: text/plain|Content-Length: 4||wholemore", end))
+                .isEqualTo("200 text/plain whol");
+        assertThat(run("HTTP/1.1 200 OK|Content-Type: text/plain|Transfer-Encoding: chunked||5|whole|0|A: b||", end))
+                .isEqualTo("200 text/plain whole");
+        assertThat(run("HTTP/1.1 103 Early Hints|A: b||HTTP/1.1 200 OK|Content-Length: 5||whole", end))
+                .isEqualTo("200 application/octet-stream whole");
+    }
+
+    /** Guards against the reset of a connection that completes a response which ends with its connection. */
+    @ParameterizedTest
+    @CsvSource({"CLOSE, 200 text/plain half", "RESET, 'failed '"})
+    void aResetIsNotTheEndOfAResponse(End end, String seen) throws Exception {
+        assertThat(run("HTTP/1.1 200 OK|Content-Type: text/plain||half", end)).isEqualTo(seen);
+    }
+}
--- /dev/null
+++ b/agent/src/test/java/org/bamboohatch/agent/driver/ScriptedTarget.java
@@ -0,0 +1,108 @@
+package org.bamboohatch.agent.driver;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Function;
+
+/** A target that answers each request on a connection of its own with given bytes, and then ends the connection. */
+final class ScriptedTarget implements AutoCloseable {
+
+    /** What a target does after its bytes. */
+    enum End {
+        /** Closes the connection. */
+        CLOSE {
+            @Override
+            void apply(ServerSocket listener, Socket connection) throws IOException {
+                connection.shutdownOutput();
+            }
+        },
+        /** Resets the connection. */
+        RESET {
+            @Override
+            void apply(ServerSocket listener, Socket connection) throws IOException {
+                connection.setSoLinger(true, 0);
+                connection.close();
+            }
+        },
+        /** Ends the process, so that new connections are refused. */
+        CRASH {
+            @Override
+            void apply(ServerSocket listener, Socket connection) throws IOException {
+                listener.close();
+                connection.shutdownOutput();
+            }
+        };
+
+        abstract void apply(ServerSocket listener, Socket connection) throws IOException;
+    }
+
+    private final ServerSocket listener;
+
+    private final Function<String, byte[]> script;
+
+    private final End end;
+
+    /** The last connection, which stays open on this side until the next one replaces it. */
+    private Socket connection;
+
+    /**
+     * Starts a target at a free port.
+     *
+     * @param script returns the bytes for the first line of a request
+     * @param end what the target does after the bytes
+     */
+    ScriptedTarget(Function<String, byte[]> script, End end) throws IOException {
+        this.listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        this.script = script;
+        this.end = end;
+        Thread accepting = new Thread(this::accept, "target");
+        accepting.setDaemon(true);
+        accepting.start();
+    }
+
+    static ScriptedTarget answering(String response, End end) throws IOException {
+        return new ScriptedTarget(line -> response.getBytes(StandardCharsets.ISO_8859_1), end);
+    }
+
+    String url() {
+        return "http://127.0.0.1:" + listener.getLocalPort();
+    }
+
+    private void accept() {
+        while (!listener.isClosed()) {
+            try {
+                connection = listener.accept();
+                String line = readHead(connection.getInputStream());
+                connection.getOutputStream().write(script.apply(line));
+                connection.getOutputStream().flush();
+                end.apply(listener, connection);
+            } catch (IOException ended) {
+                // The test or the client has closed it.
+            }
+        }
+    }
+
+    /** Reads the head of a request and returns its first line. */
+    private static String readHead(InputStream input) throws IOException {
+        StringBuilder head = new StringBuilder();
+        for (int next = input.read(); next >= 0; next = input.read()) {
+            head.append((char) next);
+            if (head.toString().endsWith("\r\n\r\n")) {
+                break;
+            }
+        }
+        return head.toString().lines().findFirst().orElse("");
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        if (connection != null) {
+            connection.close();
+        }
+    }
+}
