Call a target's own interface on connections of their own

A caller of a plain service could get the body of a health check, with the service's status, as the response to its request: an agent kept the connection of a health check, the next run took that connection, and a service that answered the health check a second time, late, answered the run with it. Likewise the list of an engine's streams could be taken from the response to another call, and the memory of running attempts be released.

Cause: runs asked for their connection to be closed after them, but could begin on one that a health check, a placement order or a cancellation had left. These ask for its end too now, so that no connection is used twice.

Ruled out: a second response to a run itself; TargetDriversTest covered that before.

Before, TargetDriversTest.aHealthCheckThatIsAnsweredAgainDoesNotAnswerTheNextRun: expected "200 run", but was "200 {}".

--- a/agent/src/main/java/org/bamboohatch/agent/driver/HttpCalls.java
+++ b/agent/src/main/java/org/bamboohatch/agent/driver/HttpCalls.java
@@ -46,17 +46,14 @@
     }
 
     /**
-     * Creates the HTTP request of a dispatched request. Its timeout is the remaining time of the dispatched request. It has a
-     * connection of its own: targets do not repeat an id, so on a kept connection a late second response to an earlier request
-     * could be taken for that of this one.
+     * Creates the HTTP request of a dispatched request. Its timeout is the remaining time of the dispatched request.
      *
      * @param dispatch the dispatched request
      * @return the HTTP request, which has not been sent
      */
     Request newRequest(Dispatch dispatch) {
-        Request request = client.newRequest(targetUrl + dispatch.call().path())
+        Request request = newRequest(dispatch.call().path())
                 .method(dispatch.call().method())
-                .headers(headers -> headers.put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString()))
                 .timeout(dispatch.remainingMillis(), TimeUnit.MILLISECONDS);
         if (dispatch.call().body().length > 0) {
             request.body(new BytesRequestContent(
@@ -72,7 +69,7 @@
      * @return completed with the JSON response, or exceptionally if the call fails or its status is 400 or higher
      */
     CompletableFuture<JsonNode> get(String path) {
-        return send(client.newRequest(targetUrl + path).timeout(CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS));
+        return send(newCall(path));
     }
 
     /**
@@ -82,9 +79,7 @@
      * @return completed with the JSON response, or exceptionally if the call fails or its status is 400 or higher
      */
     CompletableFuture<JsonNode> post(String path) {
-        return send(client.newRequest(targetUrl + path)
-                .method(HttpMethod.POST)
-                .timeout(CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS));
+        return send(newCall(path).method(HttpMethod.POST));
     }
 
     /**
@@ -96,7 +91,7 @@
      */
     CompletableFuture<JsonNode> postOrder(String path, Map<String, Object> order) {
         try {
-            return send(client.newRequest(targetUrl + path)
+            return send(newCall(path)
                     .method(HttpMethod.POST)
                     .body(new BytesRequestContent("application/json", MAPPER.writeValueAsBytes(order)))
                     .timeout(ORDER_TIMEOUT_MS, TimeUnit.MILLISECONDS));
@@ -115,6 +110,22 @@
         return !(result.getRequestFailure() instanceof ConnectException);
     }
 
+    private Request newCall(String path) {
+        return newRequest(path).timeout(CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Creates a GET request with a connection of its own: targets do not repeat an id, so on a kept connection a late second
+     * response to an earlier request could be taken for that of this one.
+     *
+     * @param path path at the target
+     * @return the request, without a timeout
+     */
+    private Request newRequest(String path) {
+        return client.newRequest(targetUrl + path)
+                .headers(headers -> headers.put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString()));
+    }
+
     private static CompletableFuture<JsonNode> send(Request request) {
         CompletableFuture<JsonNode> response = new CompletableFuture<>();
         request.send(new BufferingResponseListener() {
--- a/agent/src/test/java/org/bamboohatch/agent/driver/TargetDriversTest.java
+++ b/agent/src/test/java/org/bamboohatch/agent/driver/TargetDriversTest.java
@@ -143,6 +143,24 @@
         }
     }
 
+    /** Guards against a run that ends with the late second response to a health check. */
+    @Test
+    void aHealthCheckThatIsAnsweredAgainDoesNotAnswerTheNextRun() throws Exception {
+        AtomicInteger requests = new AtomicInteger();
+        String alive = response("200 OK", "{}");
+        IntFunction<String> repeating = number -> {
+            String own = requests.getAndIncrement() == 0 ? alive : response("200 OK", "run");
+            return number == 0 ? own : alive + own;
+        };
+        try (ServerSocket target = target(repeating)) {
+            new PlainDriver()
+                    .connect(client, "http://127.0.0.1:" + target.getLocalPort())
+                    .state()
+                    .get(10, TimeUnit.SECONDS);
+            assertThat(run(new PlainDriver(), target).awaitEnd()).isEqualTo("200 run");
+        }
+    }
+
     /** Guards against events in the body of an error that are taken for output. */
     @Test
     void anErrorOfAnEngineIsNoOutput() throws Exception {
