Lose a response that ends with its connection if its process has ended

When a plain service ended while it sent a response without a length and without chunks, the caller got what had been sent as the whole response. The kernel closes the connections of a process that has ended as it closes those of one that has sent everything, so the end of the connection alone tells nothing.

For such responses the agent now opens another connection to the service before it delivers them. If that is refused, the service has ended, and the run has failed (with an unknown outcome if it was claimed). A service that stops to listen before it ends its last responses gets these counted as failed too; one that is back within a round trip is not noticed. Responses that show their end are delivered as before, without another connection.

Before, PlainResponseTest.theEndOfTheProcessIsNotTheEndOfAResponse: expected "failed ", but was "200 application/octet-stream ", and the same with a part of the body.

--- a/agent/src/main/java/org/bamboohatch/agent/driver/HttpCalls.java
+++ b/agent/src/main/java/org/bamboohatch/agent/driver/HttpCalls.java
@@ -14,9 +14,11 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.http.HttpStatus;
 
 /** HTTP calls to a target that the drivers share. */
 final class HttpCalls {
@@ -62,6 +64,36 @@
         return request;
     }
 
+    /**
+     * Indicates whether a response shows where its body ends. The body of any other response ends with the connection.
+     *
+     * @param result result of a successful request
+     * @return {@code true} if the response has a length, chunks or no body
+     */
+    static boolean showsItsEnd(Result result) {
+        HttpFields fields = result.getResponse().getHeaders();
+        int status = result.getResponse().getStatus();
+        return fields.contains(HttpHeader.CONTENT_LENGTH)
+                || fields.contains(HttpHeader.TRANSFER_ENCODING)
+                || status == HttpStatus.NO_CONTENT_204
+                || status == HttpStatus.NOT_MODIFIED_304
+                || HttpMethod.HEAD.is(result.getRequest().getMethod());
+    }
+
+    /**
+     * Determines whether the target has ended, by a new connection.
+     *
+     * @param path path at the target that may be requested at any time
+     * @return completed with {@code true} if the connection is refused
+     */
+    CompletableFuture<Boolean> hasEnded(String path) {
+        CompletableFuture<Boolean> ended = new CompletableFuture<>();
+        newCall(path)
+                .onRequestCommit(request -> ended.complete(false))
+                .send(result -> ended.complete(result.isFailed() && !mayHaveStarted(result)));
+        return ended;
+    }
+
     /**
      * Sends a GET request.
      *
--- a/agent/src/main/java/org/bamboohatch/agent/driver/PlainDriver.java
+++ b/agent/src/main/java/org/bamboohatch/agent/driver/PlainDriver.java
@@ -15,6 +15,8 @@
     /** Maximum length of an answer, in bytes. */
     private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 
+    private static final String HEALTH_PATH = "/healthz";
+
     /** Creates a driver; invoked by the service loader. */
     public PlainDriver() {}
 
@@ -47,8 +49,21 @@
                                 HttpCalls.mayHaveStarted(result),
                                 "service connection failed: "
                                         + result.getFailure().getMessage());
-                        return;
+                    } else if (HttpCalls.showsItsEnd(result)) {
+                        deliver(result);
+                    } else {
+                        // A process that has ended closes its connections like one that has sent everything.
+                        calls.hasEnded(HEALTH_PATH).thenAccept(ended -> {
+                            if (ended) {
+                                listener.onFailure(true, "service ended, its response may be incomplete");
+                            } else {
+                                deliver(result);
+                            }
+                        });
                     }
+                }
+
+                private void deliver(Result result) {
                     listener.onData(getContent(), 0);
                     String type = getMediaType() == null ? "application/octet-stream" : getMediaType();
                     listener.onEnd(result.getResponse().getStatus(), type, "");
@@ -63,7 +78,7 @@
 
         @Override
         public CompletableFuture<TargetState> state() {
-            return calls.get("/healthz").thenApply(alive -> new TargetState(List.of(), 0, List.of()));
+            return calls.get(HEALTH_PATH).thenApply(alive -> new TargetState(List.of(), 0, List.of()));
         }
 
         @Override
--- a/agent/src/test/java/org/bamboohatch/agent/driver/PlainResponseTest.java
+++ b/agent/src/test/java/org/bamboohatch/agent/driver/PlainResponseTest.java
@@ -92,4 +92,12 @@
     void aResetIsNotTheEndOfAResponse(End end, String seen) throws Exception {
         assertThat(run("HTTP/1.1 200 OK|Content-Type: text/plain||half", end)).isEqualTo(seen);
     }
+
+    /** Guards against a part of a response that is taken for the whole because its process has ended. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {"HTTP/1.1 200 OK||", "HTTP/1.1 200 OK||half", "HTTP/1.0 200 OK|Content-Type: text/plain||half"})
+    void theEndOfTheProcessIsNotTheEndOfAResponse(String response) throws Exception {
+        assertThat(run(response, End.CRASH)).isEqualTo("failed ");
+    }
 }
