Lose a response whose body is coded

A plain service's response with a Content-Encoding that the agent's HTTP client does not know, or with a transfer coding before the chunks, reached the caller as a success whose body was the coded bytes, without the field that names the coding. Callers had not asked for a coding; the agent's client had: it sent "Accept-Encoding: gzip" of its own and decoded the body.

The client now asks for no coding and decodes nothing, and a response whose head names one has failed. Ruled out: "Transfer-Encoding: gzip" without chunks, and gzip bodies that are malformed, failed before.

Before, PlainResponseTest.aCodedBodyIsNoResponse: expected "failed ", but was "200 application/octet-stream half" (br; gzip, chunked); aServiceIsAskedForNoCoding found "Accept-Encoding: gzip" in the request.

--- a/agent/src/main/java/org/bamboohatch/agent/driver/HttpCalls.java
+++ b/agent/src/main/java/org/bamboohatch/agent/driver/HttpCalls.java
@@ -1,5 +1,6 @@
 package org.bamboohatch.agent.driver;
 
+import java.io.IOException;
 import java.net.ConnectException;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -148,14 +149,16 @@
 
     /**
      * Creates a GET request with a connection of its own: targets do not repeat an id, so on a kept connection a late second
-     * response to an earlier request could be taken for that of this one.
+     * response to an earlier request could be taken for that of this one. A response with a faulty head fails the request.
      *
      * @param path path at the target
      * @return the request, without a timeout
      */
     private Request newRequest(String path) {
         return client.newRequest(targetUrl + path)
-                .headers(headers -> headers.put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString()));
+                .headers(headers -> headers.put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString()))
+                .onResponseHeaders(response ->
+                        ResponseHead.fault(response).ifPresent(fault -> response.abort(new IOException(fault))));
     }
 
     private static CompletableFuture<JsonNode> send(Request request) {
@@ -173,7 +176,7 @@
                                 "HTTP status " + result.getResponse().getStatus());
                     }
                     response.complete(MAPPER.readTree(getContent()));
-                } catch (java.io.IOException | IllegalStateException failure) {
+                } catch (IOException | IllegalStateException failure) {
                     response.completeExceptionally(failure);
                 }
             }
--- /dev/null
+++ b/agent/src/main/java/org/bamboohatch/agent/driver/ResponseHead.java
@@ -0,0 +1,32 @@
+package org.bamboohatch.agent.driver;
+
+import java.util.Optional;
+
+import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpHeader;
+
+/** Checks of the head of a response that the HTTP client has accepted. */
+final class ResponseHead {
+
+    private ResponseHead() {}
+
+    /**
+     * Determines why the body behind a head is not what the target's application has sent under this head.
+     *
+     * @param response response of which the head is received
+     * @return the fault as a sentence, or empty if there is none
+     */
+    static Optional<String> fault(Response response) {
+        return response.getHeaders().stream()
+                .filter(ResponseHead::isCoded)
+                .findFirst()
+                .map(field -> "the body is coded: " + field);
+    }
+
+    /** Indicates whether a field names a coding that neither the agent nor, without the field, a caller can decode. */
+    private static boolean isCoded(HttpField field) {
+        return field.is(HttpHeader.CONTENT_ENCODING.asString()) && !"identity".equalsIgnoreCase(field.getValue())
+                || field.is(HttpHeader.TRANSFER_ENCODING.asString()) && !"chunked".equalsIgnoreCase(field.getValue());
+    }
+}
--- a/agent/src/main/java/org/bamboohatch/agent/driver/TargetHttpClient.java
+++ b/agent/src/main/java/org/bamboohatch/agent/driver/TargetHttpClient.java
@@ -15,7 +15,10 @@
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.thread.Scheduler;
 
-/** HTTP client for calls to a target. The reset of a connection fails a response, whatever was received of it before. */
+/**
+ * HTTP client for calls to a target. The reset of a connection fails a response, whatever was received of it before. Bodies
+ * are requested without a coding and not decoded.
+ */
 public final class TargetHttpClient extends HttpClient {
 
     /** Creates a client that is not started. */
@@ -23,6 +26,12 @@
         super(new HttpClientTransportOverHTTP(new Connector()));
     }
 
+    @Override
+    protected void doStart() throws Exception {
+        super.doStart();
+        getContentDecoderFactories().clear();
+    }
+
     /** Opens connections on which a reset is not the same as an end. */
     private static final class Connector extends ClientConnector {
 
--- a/agent/src/test/java/org/bamboohatch/agent/driver/PlainResponseTest.java
+++ b/agent/src/test/java/org/bamboohatch/agent/driver/PlainResponseTest.java
@@ -4,6 +4,7 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -100,4 +101,26 @@
     void theEndOfTheProcessIsNotTheEndOfAResponse(String response) throws Exception {
         assertThat(run(response, End.CRASH)).isEqualTo("failed ");
     }
+
+    /** Guards against a coded body that is delivered without the name of its coding. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK|Content-Encoding: br|Content-Length: 4||half",
+                "HTTP/1.1 200 OK|Content-Encoding: gzip|Content-Length: 4||half",
+                "HTTP/1.1 200 OK|Transfer-Encoding: gzip, chunked||4|half|0||",
+                "HTTP/1.1 200 OK|Transfer-Encoding: gzip||half"
+            })
+    void aCodedBodyIsNoResponse(String response) throws Exception {
+        assertThat(run(response, End.CLOSE)).isEqualTo("failed ");
+    }
+
+    @Test
+    void aServiceIsAskedForNoCoding() throws Exception {
+        try (ScriptedTarget target = ScriptedTarget.echoing()) {
+            RecordedRun run = new RecordedRun();
+            new PlainDriver().connect(client, target.url()).run(RecordedRun.dispatch(), run);
+            assertThat(run.awaitEnd()).startsWith("200 ").doesNotContainIgnoringCase("Accept-Encoding");
+        }
+    }
 }
--- a/agent/src/test/java/org/bamboohatch/agent/driver/ScriptedTarget.java
+++ b/agent/src/test/java/org/bamboohatch/agent/driver/ScriptedTarget.java
@@ -42,7 +42,7 @@
 
     private final ServerSocket listener;
 
-    private final Function<String, byte[]> script;
+    private final Function<String, String> script;
 
     private final End end;
 
@@ -52,10 +52,10 @@
     /**
      * Starts a target at a free port.
      *
-     * @param script returns the bytes for the first line of a request
+     * @param script returns the bytes for the head of a request
      * @param end what the target does after the bytes
      */
-    ScriptedTarget(Function<String, byte[]> script, End end) throws IOException {
+    ScriptedTarget(Function<String, String> script, End end) throws IOException {
         this.listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
         this.script = script;
         this.end = end;
@@ -65,7 +65,13 @@
     }
 
     static ScriptedTarget answering(String response, End end) throws IOException {
-        return new ScriptedTarget(line -> response.getBytes(StandardCharsets.ISO_8859_1), end);
+        return new ScriptedTarget(head -> response, end);
+    }
+
+    /** Starts a target whose responses have the head of the request as their body. */
+    static ScriptedTarget echoing() throws IOException {
+        return new ScriptedTarget(
+                head -> "HTTP/1.1 200 OK\r\nContent-Length: " + head.length() + "\r\n\r\n" + head, End.CLOSE);
     }
 
     String url() {
@@ -76,8 +82,8 @@
         while (!listener.isClosed()) {
             try {
                 connection = listener.accept();
-                String line = readHead(connection.getInputStream());
-                connection.getOutputStream().write(script.apply(line));
+                String response = script.apply(readHead(connection.getInputStream()));
+                connection.getOutputStream().write(response.getBytes(StandardCharsets.UTF_8));
                 connection.getOutputStream().flush();
                 end.apply(listener, connection);
             } catch (IOException ended) {
@@ -86,7 +92,6 @@
         }
     }
 
-    /** Reads the head of a request and returns its first line. */
     private static String readHead(InputStream input) throws IOException {
         StringBuilder head = new StringBuilder();
         for (int next = input.read(); next >= 0; next = input.read()) {
@@ -95,7 +100,7 @@
                 break;
             }
         }
-        return head.toString().lines().findFirst().orElse("");
+        return head.toString();
     }
 
     @Override
