--- a/agent/src/test/java/org/bamboohatch/agent/driver/PlainResponseTest.java
+++ b/agent/src/test/java/org/bamboohatch/agent/driver/PlainResponseTest.java
@@ -123,4 +123,19 @@
             assertThat(run.awaitEnd()).startsWith("200 ").doesNotContainIgnoringCase("Accept-Encoding");
         }
     }
+
+    /** Guards against the body of another response that is delivered under the status of one that was cut in its head. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OKHTTP/1.1 503 Full|Content-Length: 4||full",
+                "HTTP/1.1 200 HTTP/1.1 503 Full|Content-Length: 4||full",
+                "HTTP/1.1 200HTTP/1.1 503 Full|Content-Length: 4||full",
+                "HTTP/1.1 200 OK|Content-Type: text/plHTTP/1.1 503 Full|Content-Length: 4||full",
+                "HTTP/1.1 200 OK|Content-TypeHTTP/1.1 503 Full|Content-Length: 4||full",
+                "HTTP/1.1 200 OK|Content-Type: text/plain|HTTP/1.1 503 Full|Content-Length: 4||full"
+            })
+    void aHeadWithinAHeadIsNoResponse(String response) throws Exception {
+        assertThat(run(response, End.CLOSE)).isEqualTo("failed ");
+    }
 }
