Lose a response that ends with an interim status

A plain service that answered with 101 had this status delivered to the caller as its complete response. After another interim status that the HTTP client does not know, such as 199, the run did not end at all, not even with its timeout: its entry waited until the agent aborted the attempt at its deadline.

The client passes over 100, 102 and 103 only. Any other status below 200 now fails the response as soon as its head is read. Ruled out: the final response after 100 and 103 is delivered; interim responses without a final one failed before.

Before, PlainResponseTest.anInterimResponseIsNoResponse: expected "failed ", but was "101 application/octet-stream "; for 199 the test ended with a TimeoutException after 20 s.

--- a/agent/src/main/java/org/bamboohatch/agent/driver/ResponseHead.java
+++ b/agent/src/main/java/org/bamboohatch/agent/driver/ResponseHead.java
@@ -6,6 +6,7 @@
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
 
 /** Checks of the head of a response that the HTTP client has accepted. */
 final class ResponseHead {
@@ -21,6 +22,9 @@
      * @return the fault as a sentence, or empty if there is none
      */
     static Optional<String> fault(Response response) {
+        if (HttpStatus.isInformational(response.getStatus())) {
+            return Optional.of("the interim status " + response.getStatus() + " ends the response");
+        }
         if (isJoined(response)) {
             return Optional.of("the head of another response stands within the head");
         }
--- a/agent/src/test/java/org/bamboohatch/agent/driver/PlainResponseTest.java
+++ b/agent/src/test/java/org/bamboohatch/agent/driver/PlainResponseTest.java
@@ -138,4 +138,15 @@
     void aHeadWithinAHeadIsNoResponse(String response) throws Exception {
         assertThat(run(response, End.CLOSE)).isEqualTo("failed ");
     }
+
+    /** Guards against an interim response that is delivered as the final one, and against a run that never ends. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 101 Switching Protocols|Upgrade: x|Connection: Upgrade||",
+                "HTTP/1.1 199 Odd||HTTP/1.1 200 OK|Content-Length: 4||half"
+            })
+    void anInterimResponseIsNoResponse(String response) throws Exception {
+        assertThat(run(response, End.CLOSE)).isEqualTo("failed ");
+    }
 }
