Deliver the parameters of a media type

Callers of a plain service got its Content-Type without parameters, so that text in another character set than their default was decoded wrongly, and parts of a multipart body could not be told apart.

The driver asked the buffering listener for the media type, which has no parameters.

--- a/agent/src/main/java/org/bamboohatch/agent/driver/PlainDriver.java
+++ b/agent/src/main/java/org/bamboohatch/agent/driver/PlainDriver.java
@@ -8,6 +8,7 @@
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.HttpHeader;
 
 /** Driver for plain HTTP services. */
 public final class PlainDriver implements TargetDriver {
@@ -17,6 +18,9 @@
 
     private static final String HEALTH_PATH = "/healthz";
 
+    /** Media type of an answer that names none. */
+    private static final String UNKNOWN_TYPE = "application/octet-stream";
+
     /** Creates a driver; invoked by the service loader. */
     public PlainDriver() {}
 
@@ -65,8 +69,8 @@
 
                 private void deliver(Result result) {
                     listener.onData(getContent(), 0);
-                    String type = getMediaType() == null ? "application/octet-stream" : getMediaType();
-                    listener.onEnd(result.getResponse().getStatus(), type, "");
+                    String type = result.getResponse().getHeaders().get(HttpHeader.CONTENT_TYPE);
+                    listener.onEnd(result.getResponse().getStatus(), type == null ? UNKNOWN_TYPE : type, "");
                 }
             });
         }
--- a/agent/src/test/java/org/bamboohatch/agent/driver/PlainResponseTest.java
+++ b/agent/src/test/java/org/bamboohatch/agent/driver/PlainResponseTest.java
@@ -149,4 +149,12 @@
     void anInterimResponseIsNoResponse(String response) throws Exception {
         assertThat(run(response, End.CLOSE)).isEqualTo("failed ");
     }
+
+    /** Guards against text that a caller decodes with another character set than its service has encoded it with. */
+    @Test
+    void theMediaTypeKeepsItsParameters() throws Exception {
+        String type = "text/plain; charset=iso-8859-1";
+        assertThat(run("HTTP/1.1 200 OK|Content-Type: " + type + "|Content-Length: 4||half", End.CLOSE))
+                .isEqualTo("200 " + type + " half");
+    }
 }
