Bound the head and the size of a target's response

A faulty target that sent a head without end filled the agent's memory until the deadline of the run: within 8 seconds the parser had kept more than 500 MB of one field. A response whose chunk extension never ended was read on after its timeout had passed, since its connection never paused.

Jetty's client bounds the head only if it is told to. It is now told 64 KiB. Besides, a connection, which carries one response, is lost once it has received more than 256 MiB, whatever these bytes are.

--- a/agent/src/main/java/org/bamboohatch/agent/driver/TargetHttpClient.java
+++ b/agent/src/main/java/org/bamboohatch/agent/driver/TargetHttpClient.java
@@ -17,13 +17,32 @@
 
 /**
  * HTTP client for calls to a target. The reset of a connection fails a response, whatever was received of it before. Bodies
- * are requested without a coding and not decoded.
+ * are requested without a coding and not decoded. A response over the maximum size fails.
  */
 public final class TargetHttpClient extends HttpClient {
 
+    /** Maximum size of a response's head, in bytes. */
+    private static final int MAX_HEAD_BYTES = 64 * 1024;
+
+    /**
+     * Maximum size of a connection's responses with heads, interim responses and framing, in bytes. Leaves room for a million
+     * events of 256 bytes each.
+     */
+    private static final long MAX_CONNECTION_BYTES = 256 * 1024 * 1024;
+
     /** Creates a client that is not started. */
     public TargetHttpClient() {
-        super(new HttpClientTransportOverHTTP(new Connector()));
+        this(MAX_CONNECTION_BYTES);
+    }
+
+    /**
+     * Creates a client with another maximum size, which is not started.
+     *
+     * @param maximumConnectionBytes maximum size of a connection's responses, in bytes
+     */
+    TargetHttpClient(long maximumConnectionBytes) {
+        super(new HttpClientTransportOverHTTP(new Connector(maximumConnectionBytes)));
+        setMaxResponseHeadersSize(MAX_HEAD_BYTES);
     }
 
     @Override
@@ -32,24 +51,37 @@
         getContentDecoderFactories().clear();
     }
 
-    /** Opens connections on which a reset is not the same as an end. */
+    /** Opens connections on which a reset is not the same as an end, and whose size is bounded. */
     private static final class Connector extends ClientConnector {
 
-        Connector() {
+        private final long maximumBytes;
+
+        Connector(long maximumBytes) {
+            this.maximumBytes = maximumBytes;
             setSelectors(1);
         }
 
         @Override
         protected EndPoint newEndPoint(SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
-            return new ResettableEndPoint((SocketChannel) channel, selector, key, getScheduler());
+            return new TargetEndPoint((SocketChannel) channel, selector, key, getScheduler(), maximumBytes);
         }
     }
 
     /** End point that reports a failed read, which its superclass takes for the end of the connection. */
-    private static final class ResettableEndPoint extends SocketChannelEndPoint {
+    private static final class TargetEndPoint extends SocketChannelEndPoint {
+
+        private final long maximumBytes;
 
-        ResettableEndPoint(SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
+        private long receivedBytes;
+
+        TargetEndPoint(
+                SocketChannel channel,
+                ManagedSelector selector,
+                SelectionKey key,
+                Scheduler scheduler,
+                long maximumBytes) {
             super(channel, selector, key, scheduler);
+            this.maximumBytes = maximumBytes;
         }
 
         @Override
@@ -57,6 +89,9 @@
             if (isInputShutdown()) {
                 return -1;
             }
+            if (receivedBytes > maximumBytes) {
+                throw new IOException("response over " + maximumBytes + " bytes");
+            }
             int position = BufferUtil.flipToFill(buffer);
             int filled;
             try {
@@ -66,6 +101,7 @@
             }
             if (filled > 0) {
                 notIdle();
+                receivedBytes += filled;
             } else if (filled < 0) {
                 shutdownInput();
             }
--- a/agent/src/test/java/org/bamboohatch/agent/driver/PlainResponseTest.java
+++ b/agent/src/test/java/org/bamboohatch/agent/driver/PlainResponseTest.java
@@ -17,7 +17,9 @@
 @Timeout(60)
 class PlainResponseTest {
 
-    private final HttpClient client = new TargetHttpClient();
+    private static final long MEBIBYTE = 1024 * 1024;
+
+    private final HttpClient client = new TargetHttpClient(32 * MEBIBYTE);
 
     @BeforeEach
     void start() throws Exception {
@@ -157,4 +159,33 @@
         assertThat(run("HTTP/1.1 200 OK|Content-Type: " + type + "|Content-Length: 4||half", End.CLOSE))
                 .isEqualTo("200 " + type + " half");
     }
+
+    private void runWithoutEnd(String begin, String part) throws Exception {
+        RecordedRun run = new RecordedRun();
+        try (ScriptedTarget target = ScriptedTarget.endless(begin.replace("|", "\r\n"), part)) {
+            new PlainDriver().connect(client, target.url()).run(RecordedRun.dispatch(), run);
+            assertThat(run.awaitEnd()).isEqualTo("failed ");
+            assertThat(target.sentBytes()).isLessThan(64 * MEBIBYTE);
+        }
+    }
+
+    /** Guards against a head or a body without end that is kept until the agent runs out of memory. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 ",
+                "HTTP/1.1 200 OK|A: ",
+                "HTTP/1.1 200 OK||",
+                "HTTP/1.1 200 OK|Transfer-Encoding: chunked||40000000|"
+            })
+    void aHeadOrBodyWithoutEndFails(String begin) throws Exception {
+        runWithoutEnd(begin, "x".repeat(65_536));
+    }
+
+    /** Guards against a run that outlasts its timeout because its response never pauses. */
+    @ParameterizedTest
+    @CsvSource({"HTTP/1.1 200 OK|Transfer-Encoding: chunked||5;, %s", "'', HTTP/1.1 103 Early Hints|A: %s||"})
+    void framingWithoutEndFails(String begin, String part) throws Exception {
+        runWithoutEnd(begin, part.replace("|", "\r\n").formatted("x".repeat(16_384)));
+    }
 }
--- a/agent/src/test/java/org/bamboohatch/agent/driver/ScriptedTarget.java
+++ b/agent/src/test/java/org/bamboohatch/agent/driver/ScriptedTarget.java
@@ -6,6 +6,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 
 /** A target that answers each request on a connection of its own with given bytes, and then ends the connection. */
@@ -46,6 +47,11 @@
 
     private final End end;
 
+    /** Part that follows the response until the connection is closed, empty for none. */
+    private volatile byte[] repeatedPart = new byte[0];
+
+    private final AtomicLong sentBytes = new AtomicLong();
+
     /** The last connection, which stays open on this side until the next one replaces it. */
     private Socket connection;
 
@@ -68,12 +74,28 @@
         return new ScriptedTarget(head -> response, end);
     }
 
+    /**
+     * Starts a target that repeats a part without end.
+     *
+     * @param begin begin of the response
+     * @param part the part to repeat until the connection is closed
+     */
+    static ScriptedTarget endless(String begin, String part) throws IOException {
+        ScriptedTarget target = new ScriptedTarget(head -> begin, End.CLOSE);
+        target.repeatedPart = part.getBytes(StandardCharsets.UTF_8);
+        return target;
+    }
+
     /** Starts a target whose responses have the head of the request as their body. */
     static ScriptedTarget echoing() throws IOException {
         return new ScriptedTarget(
                 head -> "HTTP/1.1 200 OK\r\nContent-Length: " + head.length() + "\r\n\r\n" + head, End.CLOSE);
     }
 
+    long sentBytes() {
+        return sentBytes.get();
+    }
+
     String url() {
         return "http://127.0.0.1:" + listener.getLocalPort();
     }
@@ -84,7 +106,10 @@
                 connection = listener.accept();
                 String response = script.apply(readHead(connection.getInputStream()));
                 connection.getOutputStream().write(response.getBytes(StandardCharsets.UTF_8));
-                connection.getOutputStream().flush();
+                while (repeatedPart.length > 0) {
+                    connection.getOutputStream().write(repeatedPart);
+                    sentBytes.addAndGet(repeatedPart.length);
+                }
                 end.apply(listener, connection);
             } catch (IOException ended) {
                 // The test or the client has closed it.
