Fail an answer with an event that cannot be read

An engine's answer with a malformed event in its middle reached the caller as complete, without the text of that event: the driver passed over the event, and a later finish reason and "[DONE]" ended the answer. The same held for an event that reports an error, and for a line with two events, of which the second was dropped.

The parser of server-sent events passes on the refusal of its consumer.

Ruled out, with a test for each end of the connection: a stream that stops between events, within "[DONE]" or after the finish reason, and one that was cancelled, failed before.

Before, EngineAnswerTest.anAnswerWithAnEventThatIsNoneFails: expected to start with "failed ", but was "200 text/event-stream a" (four cases) and "200 text/event-stream ab" (two events in a line).

--- a/agent/src/main/java/org/bamboohatch/agent/driver/CompletionsDriver.java
+++ b/agent/src/main/java/org/bamboohatch/agent/driver/CompletionsDriver.java
@@ -129,24 +129,24 @@
          * Reads an event and forwards its text, which counts as a single output token.
          *
          * @param data data of the event
+         * @throws IOException if it is no event of an answer, so that text of the answer may be missing
          */
-        void onEvent(String data) {
+        void onEvent(String data) throws IOException {
             if (data.equals(DONE)) {
                 done = true;
                 return;
             }
-            try {
-                JsonNode choice =
-                        HttpCalls.MAPPER.readTree(data).path("choices").path(0);
-                String text = choice.path("text").asText("");
-                if (!text.isEmpty()) {
-                    listener.onData(text.getBytes(StandardCharsets.UTF_8), 1);
-                }
-                if (choice.path("finish_reason").isTextual()) {
-                    finishReason = choice.path("finish_reason").asText();
-                }
-            } catch (IOException malformed) {
-                finishReason = "";
+            JsonNode event = HttpCalls.MAPPER.readTree(data);
+            if (!event.isObject() || event.hasNonNull("error")) {
+                throw new IOException("not an event of an answer");
+            }
+            JsonNode choice = event.path("choices").path(0);
+            String text = choice.path("text").asText("");
+            if (!text.isEmpty()) {
+                listener.onData(text.getBytes(StandardCharsets.UTF_8), 1);
+            }
+            if (choice.path("finish_reason").isTextual()) {
+                finishReason = choice.path("finish_reason").asText();
             }
         }
 
--- a/agent/src/main/java/org/bamboohatch/agent/driver/HttpCalls.java
+++ b/agent/src/main/java/org/bamboohatch/agent/driver/HttpCalls.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.bamboohatch.protocol.message.AgentRequest.Dispatch;
@@ -24,7 +25,8 @@
 /** HTTP calls to a target that the drivers share. */
 final class HttpCalls {
 
-    static final ObjectMapper MAPPER = new ObjectMapper();
+    /** Mapper of JSON texts that hold one value each. */
+    static final ObjectMapper MAPPER = new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
 
     /** Timeout of calls that the target answers at once, in milliseconds. */
     private static final long CALL_TIMEOUT_MS = 1_000;
--- /dev/null
+++ b/agent/src/test/java/org/bamboohatch/agent/driver/EngineAnswerTest.java
@@ -0,0 +1,73 @@
+package org.bamboohatch.agent.driver;
+
+import org.bamboohatch.agent.driver.ScriptedTarget.End;
+import org.eclipse.jetty.client.HttpClient;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Answers of engines: each reaches the caller whole, or the run has failed. */
+@Timeout(60)
+class EngineAnswerTest {
+
+    private static final String HEAD = "HTTP/1.1 200 OK\r\n\r\n";
+
+    private static final String DONE = "data: [DONE]\n\n";
+
+    private final HttpClient client = new TargetHttpClient();
+
+    @BeforeEach
+    void start() throws Exception {
+        client.start();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        client.stop();
+    }
+
+    /** Returns an event with a text, and with a finish reason unless that is empty. */
+    private static String event(String text, String reason) {
+        String finish = reason.isEmpty() ? "null" : "\"" + reason + "\"";
+        return "data: {\"choices\":[{\"text\":\"" + text + "\",\"finish_reason\":" + finish + "}]}\n\n";
+    }
+
+    private String run(String stream, End end) throws Exception {
+        RecordedRun run = new RecordedRun();
+        try (ScriptedTarget target = ScriptedTarget.answering(HEAD + stream, end)) {
+            new CompletionsDriver().connect(client, target.url()).run(RecordedRun.dispatch(), run);
+            return run.awaitEnd();
+        }
+    }
+
+    /** Guards against an answer that lacks the text of an event which could not be read. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "{\"choices\":[{\"te",
+                "{\"choices\":[{\"text\":\"b\"}]}{\"choices\":[{\"text\":\"c\"}]}",
+                "{\"error\":{\"message\":\"broken\"}}",
+                "bead",
+                ""
+            })
+    void anAnswerWithAnEventThatIsNoneFails(String data) throws Exception {
+        String stream = event("a", "") + "data: " + data + "\n\n" + event("", "stop") + DONE;
+        assertThat(run(stream, End.CLOSE)).startsWith("failed ");
+    }
+
+    /** Guards against a stream that stops between two events and is complete with its connection. */
+    @ParameterizedTest
+    @EnumSource(End.class)
+    void aStreamThatStopsBetweenEventsFails(End end) throws Exception {
+        assertThat(run(event("a", ""), end)).startsWith("failed ");
+        assertThat(run(event("a", "stop"), end)).startsWith("failed ");
+        assertThat(run(event("a", "stop") + "data: [DO", end)).startsWith("failed ");
+        assertThat(run(event("a", "cancelled") + DONE, end)).startsWith("failed ");
+    }
+}
--- a/kernel/src/main/java/org/bamboohatch/kernel/stream/ServerSentEventParser.java
+++ b/kernel/src/main/java/org/bamboohatch/kernel/stream/ServerSentEventParser.java
@@ -1,9 +1,9 @@
 package org.bamboohatch.kernel.stream;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.function.Consumer;
 
 /**
  * Extracts the data from a stream of server-sent events. Each {@code data} line is delivered by itself; other fields
@@ -13,17 +13,30 @@
 
     private static final String DATA_PREFIX = "data:";
 
-    private final Consumer<String> consumer;
+    private final DataConsumer consumer;
 
     /** Bytes of the current, incomplete line. */
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
 
+    /** Receives the data of events. */
+    @FunctionalInterface
+    public interface DataConsumer {
+
+        /**
+         * Receives the data of an event.
+         *
+         * @param data the data, without surrounding white space
+         * @throws IOException if the stream must not be read on
+         */
+        void accept(String data) throws IOException;
+    }
+
     /**
      * Creates a parser at the start of a stream.
      *
-     * @param consumer receives the data of each event, without surrounding white space
+     * @param consumer receives the data of each event
      */
-    public ServerSentEventParser(Consumer<String> consumer) {
+    public ServerSentEventParser(DataConsumer consumer) {
         this.consumer = consumer;
     }
 
@@ -31,8 +44,9 @@
      * Parses the next part of the stream. Parts may end anywhere, also within a character.
      *
      * @param part next bytes of the stream, which are consumed
+     * @throws IOException if the consumer refuses the data of an event
      */
-    public void parse(ByteBuffer part) {
+    public void parse(ByteBuffer part) throws IOException {
         while (part.hasRemaining()) {
             byte next = part.get();
             if (next == '\n') {
@@ -44,7 +58,7 @@
     }
 
     /** Completes the current line and delivers its data, if any. */
-    private void endLine() {
+    private void endLine() throws IOException {
         String text = line.toString(StandardCharsets.UTF_8).strip();
         line.reset();
         if (text.startsWith(DATA_PREFIX)) {
