Deliver no text that follows the end of an engine's answer

Text that an engine sent after the event that ends a stream was added to the answer of the caller, for example the events of a second answer that came late on the same connection.

What follows "[DONE]" is ignored now; it belongs to no answer. Text between the finish reason and "[DONE]" fails the run, as one of the two must be wrong.

Before, EngineAnswerTest.whatFollowsTheEndOfAnAnswerIsNoOutput: expected "200 text/event-stream a", but was "200 text/event-stream ab".

--- a/agent/src/main/java/org/bamboohatch/agent/driver/CompletionsDriver.java
+++ b/agent/src/main/java/org/bamboohatch/agent/driver/CompletionsDriver.java
@@ -126,12 +126,16 @@
         }
 
         /**
-         * Reads an event and forwards its text, which counts as a single output token.
+         * Reads an event and forwards its text, which counts as a single output token. Whatever follows the event that ends
+         * the stream is ignored.
          *
          * @param data data of the event
          * @throws IOException if it is no event of an answer, so that text of the answer may be missing
          */
         void onEvent(String data) throws IOException {
+            if (done) {
+                return;
+            }
             if (data.equals(DONE)) {
                 done = true;
                 return;
@@ -143,6 +147,9 @@
             JsonNode choice = event.path("choices").path(0);
             String text = choice.path("text").asText("");
             if (!text.isEmpty()) {
+                if (!finishReason.isEmpty()) {
+                    throw new IOException("text after the finish reason");
+                }
                 listener.onData(text.getBytes(StandardCharsets.UTF_8), 1);
             }
             if (choice.path("finish_reason").isTextual()) {
--- a/agent/src/test/java/org/bamboohatch/agent/driver/EngineAnswerTest.java
+++ b/agent/src/test/java/org/bamboohatch/agent/driver/EngineAnswerTest.java
@@ -61,6 +61,14 @@
         assertThat(run(stream, End.CLOSE)).startsWith("failed ");
     }
 
+    /** Guards against text of another answer that is added to one which has ended. */
+    @Test
+    void whatFollowsTheEndOfAnAnswerIsNoOutput() throws Exception {
+        String second = HEAD + event("b", "stop") + DONE;
+        assertThat(run(event("a", "stop") + DONE + second, End.CLOSE)).isEqualTo("200 text/event-stream a");
+        assertThat(run(event("a", "stop") + second, End.CLOSE)).isEqualTo("failed a");
+    }
+
     /** Guards against a stream that stops between two events and is complete with its connection. */
     @ParameterizedTest
     @EnumSource(End.class)
