Bound the events and the output of an engine's answer

An engine that sent an event without end, or events without end, filled the agent's memory until the deadline of the run: the parser kept the line, and each output was kept for a resumption of the stream and passed on to the caller.

A line is now bounded to 1 MiB, and an answer to the output tokens that were requested, for which the agent has reserved memory. More fails the run and closes the connection.

--- a/agent/src/main/java/org/bamboohatch/agent/driver/CompletionsDriver.java
+++ b/agent/src/main/java/org/bamboohatch/agent/driver/CompletionsDriver.java
@@ -49,7 +49,7 @@
 
         @Override
         public void run(Dispatch dispatch, RunListener listener) {
-            AnswerReader reader = new AnswerReader(listener);
+            AnswerReader reader = new AnswerReader(listener, dispatch.outputTokens());
             ServerSentEventParser parser = new ServerSentEventParser(reader::onEvent);
             calls.newRequest(dispatch)
                     .onResponseContent((response, buffer) -> {
@@ -121,8 +121,12 @@
         /** Whether the event that ends the stream was received. */
         private boolean done;
 
-        AnswerReader(RunListener listener) {
+        /** Number of output tokens that the engine may still send. */
+        private long remainingTokens;
+
+        AnswerReader(RunListener listener, long maximumTokens) {
             this.listener = listener;
+            this.remainingTokens = maximumTokens;
         }
 
         /**
@@ -150,6 +154,10 @@
                 if (!finishReason.isEmpty()) {
                     throw new IOException("text after the finish reason");
                 }
+                if (remainingTokens == 0) {
+                    throw new IOException("more output than was requested");
+                }
+                remainingTokens--;
                 listener.onData(text.getBytes(StandardCharsets.UTF_8), 1);
             }
             if (choice.path("finish_reason").isTextual()) {
--- a/agent/src/test/java/org/bamboohatch/agent/driver/EngineAnswerTest.java
+++ b/agent/src/test/java/org/bamboohatch/agent/driver/EngineAnswerTest.java
@@ -78,4 +78,25 @@
         assertThat(run(event("a", "stop") + "data: [DO", end)).startsWith("failed ");
         assertThat(run(event("a", "cancelled") + DONE, end)).startsWith("failed ");
     }
+
+    private void runWithoutEnd(String begin, String part) throws Exception {
+        RecordedRun run = new RecordedRun();
+        try (ScriptedTarget target = ScriptedTarget.endless(HEAD + begin, part)) {
+            new CompletionsDriver().connect(client, target.url()).run(RecordedRun.dispatch(), run);
+            assertThat(run.awaitEnd()).startsWith("failed ");
+            assertThat(target.sentBytes()).isLessThan(64 * 1024 * 1024);
+        }
+    }
+
+    /** Guards against an event without end that is kept until the agent runs out of memory. */
+    @Test
+    void anEventWithoutEndFails() throws Exception {
+        runWithoutEnd("data: ", "x".repeat(65_536));
+    }
+
+    /** Guards against events without end, of which each is kept for a resumption. */
+    @Test
+    void moreOutputThanWasRequestedFails() throws Exception {
+        runWithoutEnd("", event("a", "").repeat(1_000));
+    }
 }
--- a/kernel/src/main/java/org/bamboohatch/kernel/stream/ServerSentEventParser.java
+++ b/kernel/src/main/java/org/bamboohatch/kernel/stream/ServerSentEventParser.java
@@ -13,6 +13,9 @@
 
     private static final String DATA_PREFIX = "data:";
 
+    /** Maximum length of a line, in bytes. */
+    private static final int MAX_LINE_BYTES = 1024 * 1024;
+
     private final DataConsumer consumer;
 
     /** Bytes of the current, incomplete line. */
@@ -44,13 +47,15 @@
      * Parses the next part of the stream. Parts may end anywhere, also within a character.
      *
      * @param part next bytes of the stream, which are consumed
-     * @throws IOException if the consumer refuses the data of an event
+     * @throws IOException if a line is too long, or the consumer refuses the data of an event
      */
     public void parse(ByteBuffer part) throws IOException {
         while (part.hasRemaining()) {
             byte next = part.get();
             if (next == '\n') {
                 endLine();
+            } else if (line.size() == MAX_LINE_BYTES) {
+                throw new IOException("line over " + MAX_LINE_BYTES + " bytes");
             } else {
                 line.write(next);
             }
