Record the answer of a run whose attempt was aborted before it

A caller that repeated an order with its idempotency key could get the order's status with an empty body, as a complete response. The agent aborts an attempt at its deadline but lets a claimed run end, to record its answer. It kept no chunk after the abort, so the answer was recorded with the status and type of the target and no body.

The chunks of a claimed run are now kept after the end of its attempt; nothing of them is sent. Ruled out: runs of idempotent requests, of which nothing is recorded, keep nothing after their end as before.

Before, AttemptRunnerTest.answerAfterTheEndOfItsAttemptIsRecordedWhole: expected "whole", but was "".

--- a/agent/src/main/java/org/bamboohatch/agent/run/RunningAttempt.java
+++ b/agent/src/main/java/org/bamboohatch/agent/run/RunningAttempt.java
@@ -71,19 +71,22 @@
     }
 
     /**
-     * Sends a chunk of the answer and keeps it. Ignored if the attempt has ended.
+     * Sends a chunk of the answer and keeps it. After the end of the attempt, nothing is sent, and a chunk is kept only if the
+     * answer of the run is recorded.
      *
      * @param data bytes of the chunk
      * @param tokens number of output tokens in the chunk
      * @return {@code true} if it is the first chunk
      */
     public synchronized boolean addChunk(byte[] data, int tokens) {
-        if (lastReply != null) {
+        if (lastReply != null && dispatch.claim() == null) {
             return false;
         }
         Chunk chunk = new Chunk(id(), chunks.size(), tokens, data);
         chunks.add(chunk);
-        exchange.reply(chunk);
+        if (lastReply == null) {
+            exchange.reply(chunk);
+        }
         return chunks.size() == 1;
     }
 
--- a/agent/src/test/java/org/bamboohatch/agent/run/AttemptRunnerTest.java
+++ b/agent/src/test/java/org/bamboohatch/agent/run/AttemptRunnerTest.java
@@ -131,13 +131,17 @@
     }
 
     private static Dispatch dispatch(String attempt, long promptTokens, boolean claimed) {
+        return dispatch(attempt, 60_000, promptTokens, claimed);
+    }
+
+    private static Dispatch dispatch(String attempt, long remainingMillis, long promptTokens, boolean claimed) {
         return new Dispatch(
                 new RequestId("r"),
                 new AttemptId(attempt),
                 new ServiceName("s"),
                 promptTokens > 0 ? new ModelName("m") : null,
                 0,
-                60_000,
+                remainingMillis,
                 0,
                 promptTokens,
                 0,
@@ -189,6 +193,20 @@
         assertThat(target.started).hasSize(1);
     }
 
+    /** Guards against a run that is recorded without its body because its attempt was aborted before it ended. */
+    @Test
+    void answerAfterTheEndOfItsAttemptIsRecordedWhole() {
+        FakeExchange exchange = run(dispatch("a", 0, 0, true));
+        runner.reconcile(new TargetState(List.of(), 0, List.of()));
+        completeRun(0, "whole");
+        assertThat(((AgentReply.Failed) exchange.last).outcome()).isEqualTo(RunOutcome.UNKNOWN);
+        assertThat(exchange.replies).noneMatch(AgentReply.Chunk.class::isInstance);
+        FakeExchange repeated = run(dispatch("b", 0, true));
+        assertThat(((AgentReply.Claimed) repeated.last).decision().answer().body())
+                .asString(StandardCharsets.UTF_8)
+                .isEqualTo("whole");
+    }
+
     @Test
     void abandonedAttemptDoesNotRun() {
         ledger.abandon(new AbandonRun(KEY, new AttemptId("a"), null, 0));
