Answer with an error if a recorded response lacks its body

A caller that repeated an order with its idempotency key, or whose entry lost the agent and asked the ledger, got the status of the order with an empty body if the response was over 65,536 bytes: a success that was framed as complete and lacked everything.

Cause: of longer responses the ledger keeps status and type, and nothing in the record tells an omitted body from an empty one. The record now says so, and an entry answers "response_not_recorded" with the status of the run in its sentence. Records of earlier builds do not say it: those of longer responses are still replayed empty until they are forgotten.

Before (the record said it, the entry did not look): CallerRequestTest.aRecordedResponseWithoutItsBodyIsAnError: expected to contain exactly ["unknown"], but was ["complete"].

--- a/agent/src/main/java/org/bamboohatch/agent/run/AttemptRunner.java
+++ b/agent/src/main/java/org/bamboohatch/agent/run/AttemptRunner.java
@@ -342,12 +342,10 @@
      * @param contentType media type of the answer
      */
     private void recordAnswer(RunningAttempt attempt, String nonce, int status, String contentType) {
-        byte[] body = attempt.answer();
-        byte[] recordedBody = body.length <= RecordedAnswer.MAX_BODY_BYTES ? body : new byte[0];
         pendingRecords.incrementAndGet();
         var key = attempt.dispatch().claim().key();
         FinishRun finish =
-                new FinishRun(key, attempt.id(), nonce, new RecordedAnswer(status, contentType, recordedBody));
+                new FinishRun(key, attempt.id(), nonce, new RecordedAnswer(status, contentType, attempt.answer()));
         control.call(finish, RECORD_TIMEOUT).whenComplete((reply, failure) -> {
             pendingRecords.decrementAndGet();
             if (!(reply instanceof ControlReply.Run run) || run.state() != RunState.FINISHED) {
--- a/entry/src/main/java/org/bamboohatch/entry/dispatch/Attempt.java
+++ b/entry/src/main/java/org/bamboohatch/entry/dispatch/Attempt.java
@@ -195,8 +195,7 @@
         releaseTarget();
         switch (claimed.decision().state()) {
             case FINISHED -> {
-                var answer = claimed.decision().answer();
-                if (request.completeRecorded(answer.status(), answer.contentType(), answer.body())) {
+                if (request.completeRecorded(claimed.decision().answer())) {
                     dispatcher.finish(request, "replayed");
                 }
             }
--- a/entry/src/main/java/org/bamboohatch/entry/dispatch/Dispatcher.java
+++ b/entry/src/main/java/org/bamboohatch/entry/dispatch/Dispatcher.java
@@ -355,8 +355,7 @@
 
     private void applySettlement(CallerRequest request, ServicePool pool, RunSettlement.Settlement outcome) {
         if (outcome instanceof RunSettlement.Recorded recorded) {
-            var answer = recorded.answer();
-            if (request.completeRecorded(answer.status(), answer.contentType(), answer.body())) {
+            if (request.completeRecorded(recorded.answer())) {
                 finish(request, "completed");
             }
         } else if (outcome instanceof RunSettlement.NotRun
--- a/entry/src/main/java/org/bamboohatch/entry/request/CallerRequest.java
+++ b/entry/src/main/java/org/bamboohatch/entry/request/CallerRequest.java
@@ -8,10 +8,12 @@
 import org.bamboohatch.kernel.id.RequestId;
 import org.bamboohatch.kernel.id.RunKey;
 import org.bamboohatch.kernel.id.ServiceName;
+import org.bamboohatch.kernel.outcome.ErrorCode;
 import org.bamboohatch.kernel.outcome.Refusal;
 import org.bamboohatch.kernel.outcome.RunOutcome;
 import org.bamboohatch.kernel.service.Invariant;
 import org.bamboohatch.protocol.message.AgentReply.Chunk;
+import org.bamboohatch.protocol.message.RecordedAnswer;
 import org.bamboohatch.routing.WaitingRequest;
 
 /**
@@ -248,19 +250,23 @@
     }
 
     /**
-     * Ends the response with the answer that the ledger recorded for the run.
+     * Ends the response with the answer that the ledger recorded for the run, or with an error if it lacks the body.
      *
-     * @param status HTTP status that the target returned
-     * @param contentType media type of the response
-     * @param body the complete body
+     * @param answer the recorded answer
      * @return {@code true} if this call ended the request, {@code false} if it had ended before
      */
-    public synchronized boolean completeRecorded(int status, String contentType, byte[] body) {
+    public synchronized boolean completeRecorded(RecordedAnswer answer) {
+        if (answer.bodyOmitted()) {
+            return refuse(Refusal.notRun(
+                            ErrorCode.RESPONSE_NOT_RECORDED,
+                            "The request ran with status " + answer.status() + "; its response was too long to record.")
+                    .withOutcome(RunOutcome.UNKNOWN));
+        }
         boolean endedNow = ended.compareAndSet(false, true);
         if (endedNow) {
             sink.discardUnsent();
-            sink.chunk(body, 0);
-            sink.complete(status, contentType, "");
+            sink.chunk(answer.body(), 0);
+            sink.complete(answer.status(), answer.contentType(), "");
         }
         return endedNow;
     }
--- a/entry/src/test/java/org/bamboohatch/entry/request/CallerRequestTest.java
+++ b/entry/src/test/java/org/bamboohatch/entry/request/CallerRequestTest.java
@@ -1,5 +1,6 @@
 package org.bamboohatch.entry.request;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -19,6 +20,8 @@
 import org.bamboohatch.kernel.outcome.Refusal;
 import org.bamboohatch.kernel.service.Invariant;
 import org.bamboohatch.protocol.message.AgentReply.Chunk;
+import org.bamboohatch.protocol.message.MessageCodec;
+import org.bamboohatch.protocol.message.RecordedAnswer;
 import org.bamboohatch.routing.LengthClass;
 import org.bamboohatch.routing.WaitingRequest;
 
@@ -128,10 +131,20 @@
     void theRecordedResponseReplacesThatOfTheTarget() {
         request.beginAttempt(FIRST);
         deliverPlain(FIRST, "whole");
-        request.completeRecorded(200, "text/plain", "whole".getBytes(StandardCharsets.UTF_8));
+        request.completeRecorded(new RecordedAnswer(200, "text/plain", "whole".getBytes(StandardCharsets.UTF_8)));
         assertThat(sink.text).hasToString("whole");
     }
 
+    /** Guards against a success with an empty body in the place of a response that was too long to be recorded. */
+    @Example
+    void aRecordedResponseWithoutItsBodyIsAnError() throws IOException {
+        byte[] body = new byte[RecordedAnswer.MAX_BODY_BYTES + 1];
+        byte[] stored = MessageCodec.instance().encode(new RecordedAnswer(200, "text/plain", body));
+        assertThat(request.completeRecorded(MessageCodec.instance().decode(stored, RecordedAnswer.class)))
+                .isTrue();
+        assertThat(sink.ends).containsExactly("unknown");
+    }
+
     @Example
     void completionWithMissingChunksBreaksInvariant() {
         request.beginAttempt(FIRST);
--- a/kernel/src/main/java/org/bamboohatch/kernel/outcome/ErrorCode.java
+++ b/kernel/src/main/java/org/bamboohatch/kernel/outcome/ErrorCode.java
@@ -34,6 +34,8 @@
     DEADLINE_EXCEEDED(504),
     /** The target failed. */
     TARGET_FAILED(502),
+    /** The request ran before, and its response was too long to be recorded. */
+    RESPONSE_NOT_RECORDED(502),
     /** The outcome of the run is unknown. */
     RUN_UNKNOWN(504);
 
