Abort a stream whose caller does not read it

An entry kept in memory whatever a caller of a streamed completion did not read, up to a million events, until the caller closed or its connection was idle for a minute; with many such callers that is the memory of the process.

At most 1 MiB now waits behind the write that is in progress. A caller further behind gets an aborted response, its connection is closed without the last chunk, and the request is cancelled as for a caller that has disconnected. Parts that wait are written together.

--- a/http/src/main/java/org/bamboohatch/http/ResponseStream.java
+++ b/http/src/main/java/org/bamboohatch/http/ResponseStream.java
@@ -1,9 +1,9 @@
 package org.bamboohatch.http;
 
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.Queue;
 
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Response;
@@ -12,14 +12,17 @@
 /** Writes a response in parts, in the order in which they are sent; can be used from any thread and does not block. */
 public final class ResponseStream {
 
+    /** Maximum number of bytes that wait until the caller has read what was written before. */
+    private static final int MAX_PENDING_BYTES = 1024 * 1024;
+
     private final Response response;
 
     private final Callback callback;
 
     private final Runnable onDisconnect;
 
-    /** Parts to write after the current one. */
-    private final Queue<ByteBuffer> pending = new ArrayDeque<>();
+    /** Bytes to write after the current write. */
+    private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
 
     /** Whether a write is in progress; the response allows one at a time. */
     private boolean writing;
@@ -27,15 +30,19 @@
     /** Whether no more parts will be sent. */
     private boolean ended;
 
-    /** Whether the last write was started or a write has failed. */
+    /** Whether the last write was started or the stream has failed. */
     private boolean completed;
 
+    /** Whether a write has failed or the caller was too far behind. */
+    private boolean failed;
+
     /**
      * Creates a stream for a response of which nothing has been written yet.
      *
      * @param response the response to write
      * @param callback completed when the response is written or has failed
-     * @param onDisconnect invoked, at most once, when a part cannot be written because the caller has disconnected
+     * @param onDisconnect invoked, at most once, when a part cannot be written because the caller has disconnected or
+     *     does not read
      */
     public ResponseStream(Response response, Callback callback, Runnable onDisconnect) {
         this.response = response;
@@ -64,16 +71,23 @@
     }
 
     /**
-     * Sends a part of the body. Does nothing after the end of the response or a failed write.
+     * Sends a part of the body. Does nothing after the end of the response or a failed write. The response is aborted if too
+     * many bytes wait already.
      *
-     * @param part bytes to send; must not be modified afterwards
+     * @param part bytes to send
      */
-    public synchronized void send(byte[] part) {
-        if (ended || completed) {
-            return;
+    public void send(byte[] part) {
+        synchronized (this) {
+            if (ended || completed) {
+                return;
+            }
+            if (pending.size() == 0 || pending.size() + part.length <= MAX_PENDING_BYTES) {
+                pending.writeBytes(part);
+                writeNext();
+                return;
+            }
         }
-        pending.add(ByteBuffer.wrap(part));
-        writeNext();
+        fail(new IOException("the caller does not read"));
     }
 
     /** Ends the response once all parts sent before are written. */
@@ -84,17 +98,18 @@
         }
     }
 
-    /** Starts to write the next part or the end of the response, unless a write is in progress. */
+    /** Starts to write the pending bytes or the end of the response, unless a write is in progress. */
     private void writeNext() {
         if (writing || completed) {
             return;
         }
-        ByteBuffer part = pending.poll();
-        if (part != null) {
+        if (pending.size() > 0) {
+            ByteBuffer part = ByteBuffer.wrap(pending.toByteArray());
+            pending.reset();
             writing = true;
-            boolean last = ended && pending.isEmpty();
+            boolean last = ended;
             completed = last;
-            response.write(last, part, Callback.from(() -> onWritten(last), this::onWriteFailed));
+            response.write(last, part, Callback.from(() -> onWritten(last), this::fail));
         } else if (ended) {
             completed = true;
             response.write(true, ByteBuffer.allocate(0), callback);
@@ -110,12 +125,15 @@
         }
     }
 
-    private void onWriteFailed(Throwable cause) {
+    private void fail(Throwable cause) {
         synchronized (this) {
-            writing = false;
+            if (failed) {
+                return;
+            }
+            failed = true;
             completed = true;
             ended = true;
-            pending.clear();
+            pending.reset();
         }
         callback.failed(cause);
         onDisconnect.run();
