Relay bytes and the end of a connection in order

A relay with a delay closed a connection before it forwarded the data that it held, so that a whole response came out empty and ended in order. With a jitter, data overtook earlier data of the same connection. Both look like faults of the programs on either side.

Cause: each piece of data is a task with a time of its own, rounded to milliseconds before the task is scheduled by nanoseconds, and the close was no task at all. Tasks now take the next step from a queue, and the close is the last step, after what waits for the receiver to read.

--- a/standin/src/main/java/org/bamboohatch/standin/relay/Relay.java
+++ b/standin/src/main/java/org/bamboohatch/standin/relay/Relay.java
@@ -1,15 +1,18 @@
 package org.bamboohatch.standin.relay;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Queue;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -113,7 +116,10 @@
         /** Whether data of this direction has been discarded, after which nothing more is forwarded. */
         private boolean blocked;
 
-        /** Time at which the preceding data is forwarded; later data does not overtake it. */
+        /** What is to be forwarded, in order: each task that is scheduled does the next step. */
+        private final Queue<Runnable> steps = new ArrayDeque<>();
+
+        /** Time at which the preceding step is done; later ones do not overtake it. */
         private long lastForwardMillis;
 
         Pipe(Channel other, boolean fromClient) {
@@ -128,12 +134,22 @@
                 ReferenceCountUtil.release(message);
                 return;
             }
-            ByteBuf data = (ByteBuf) message;
+            forward(context, () -> other.writeAndFlush(message));
+        }
+
+        /**
+         * Forwards data or the end of the connection after a delay.
+         *
+         * @param context context of the channel that is read
+         * @param step forwards to the other channel
+         */
+        private void forward(ChannelHandlerContext context, Runnable step) {
             long now = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
             lastForwardMillis = Math.max(lastForwardMillis, now + delay());
+            steps.add(step);
             context.channel()
                     .eventLoop()
-                    .schedule(() -> other.writeAndFlush(data), lastForwardMillis - now, TimeUnit.MILLISECONDS);
+                    .schedule(() -> steps.remove().run(), lastForwardMillis - now, TimeUnit.MILLISECONDS);
         }
 
         /** Draws the delay of a piece of data, in milliseconds. */
@@ -148,7 +164,8 @@
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             if (!blocked && mode.get() != RelayMode.SILENT) {
-                other.close();
+                forward(context, () -> other.writeAndFlush(Unpooled.EMPTY_BUFFER)
+                        .addListener(ChannelFutureListener.CLOSE));
             }
         }
 
