Relay a reset as a reset

A relay turned the reset of a connection into an orderly end on its other side. A response without a length ends with its connection, so a part of one looked whole behind a relay, whatever the programs do about resets.

The other side of a connection that has failed is now closed with a reset too.

Before, RelayTest.aResetIsPassedOnAsAReset: "Expecting code to raise a throwable". An earlier form of the test reset the connection before the relay had established it, and failed with the change too; it now exchanges a byte first.

--- a/standin/src/main/java/org/bamboohatch/standin/relay/Relay.java
+++ b/standin/src/main/java/org/bamboohatch/standin/relay/Relay.java
@@ -171,6 +171,9 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (other.isOpen()) {
+                other.config().setOption(ChannelOption.SO_LINGER, 0);
+            }
             context.close();
         }
     }
--- a/standin/src/test/java/org/bamboohatch/standin/relay/RelayTest.java
+++ b/standin/src/test/java/org/bamboohatch/standin/relay/RelayTest.java
@@ -4,6 +4,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 
 import org.junit.jupiter.api.AfterEach;
@@ -11,6 +12,7 @@
 import org.junit.jupiter.api.Timeout;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 /** Guards against faults that nobody has asked a relay for: they hide or look like faults of the programs beside it. */
 @Timeout(60)
@@ -79,4 +81,15 @@
             }
         });
     }
+
+    @Test
+    void aResetIsPassedOnAsAReset() throws IOException {
+        connect(0, 0, (client, target) -> {
+            client.getOutputStream().write(1);
+            assertThat(target.getInputStream().read()).isEqualTo(1);
+            target.setSoLinger(true, 0);
+            target.close();
+            assertThatThrownBy(() -> client.getInputStream().read()).isInstanceOf(SocketException.class);
+        });
+    }
 }
