Fail a health check whose response lacks its content

An engine's response to a health check that ended before its content (no length, no chunks, closed), or that belonged to another call, was read as an engine without models or without streams. The agent then announced a target without models, or released the memory of attempts that the engine was still running.

An object without the list of models or streams now fails the check, as a malformed one did before.

Before, EngineAnswerTest.aHealthCheckWithoutItsContentFails: "Expecting code to raise a throwable" (an empty response to either call, and the two exchanged).

--- a/agent/src/main/java/org/bamboohatch/agent/driver/CompletionsDriver.java
+++ b/agent/src/main/java/org/bamboohatch/agent/driver/CompletionsDriver.java
@@ -90,18 +90,27 @@
          * @param load response with the loaded models, each as {@code name@version}, and the prefill time
          * @param streams response with the identifiers of the running streams
          * @return the state of the engine
+         * @throws IllegalStateException if one of them is not such a response
          */
         private static TargetState state(JsonNode load, JsonNode streams) {
             List<LoadedModel> models = new ArrayList<>();
-            for (JsonNode model : load.path("models")) {
+            for (JsonNode model : array(load, "models")) {
                 String[] parts = model.asText().split("@", 2);
                 models.add(new LoadedModel(new ModelName(parts[0]), parts.length > 1 ? parts[1] : ""));
             }
             List<String> ids = new ArrayList<>();
-            streams.path("ids").forEach(id -> ids.add(id.asText()));
+            array(streams, "ids").forEach(id -> ids.add(id.asText()));
             return new TargetState(models, load.path("millis_per_prompt_token").asDouble(), ids);
         }
 
+        private static JsonNode array(JsonNode response, String name) {
+            JsonNode array = response.path(name);
+            if (!array.isArray()) {
+                throw new IllegalStateException("response without " + name);
+            }
+            return array;
+        }
+
         @Override
         public CompletableFuture<Void> executeOrder(PlacementOrder order, long fence) {
             String model = order.model().name() + "@" + order.model().version();
--- a/agent/src/test/java/org/bamboohatch/agent/driver/EngineAnswerTest.java
+++ b/agent/src/test/java/org/bamboohatch/agent/driver/EngineAnswerTest.java
@@ -1,5 +1,9 @@
 package org.bamboohatch.agent.driver;
 
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
 import org.bamboohatch.agent.driver.ScriptedTarget.End;
 import org.eclipse.jetty.client.HttpClient;
 import org.junit.jupiter.api.AfterEach;
@@ -7,10 +11,12 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 /** Answers of engines: each reaches the caller whole, or the run has failed. */
 @Timeout(60)
@@ -79,6 +85,22 @@
         assertThat(run(event("a", "cancelled") + DONE, end)).startsWith("failed ");
     }
 
+    /** Guards against an engine without models or streams because a response to a health check was cut or another one. */
+    @ParameterizedTest
+    @CsvSource({
+        "'', '{\"ids\":[]}'",
+        "'{\"models\":[]}', ''",
+        "'{\"ids\":[]}', '{\"models\":[]}'",
+        "'{\"models\":[', '{}'"
+    })
+    void aHealthCheckWithoutItsContentFails(String load, String streams) throws Exception {
+        Function<String, String> script = head -> HEAD + (head.startsWith("GET /load ") ? load : streams);
+        try (ScriptedTarget target = new ScriptedTarget(script, End.CLOSE)) {
+            var state = new CompletionsDriver().connect(client, target.url()).state();
+            assertThatThrownBy(() -> state.get(10, TimeUnit.SECONDS)).isInstanceOf(ExecutionException.class);
+        }
+    }
+
     private void runWithoutEnd(String begin, String part) throws Exception {
         RecordedRun run = new RecordedRun();
         try (ScriptedTarget target = ScriptedTarget.endless(HEAD + begin, part)) {
