Fail a command whose results cannot be printed completely

"bamboohatch get portal > old.yaml" ended with 0 when the disk was full, with a part of the document in the file; the documented way to roll back applies that file next. Other commands lost rows the same way.

Print streams keep errors to themselves. A command now ends with 64 if its standard output has failed.

Without the look at the output, ContextTest.resultsThatCannotBePrintedAreNotDone: expected USAGE, but was DONE.

--- a/cli/src/main/java/org/bamboohatch/cli/CommandLine.java
+++ b/cli/src/main/java/org/bamboohatch/cli/CommandLine.java
@@ -89,7 +89,7 @@
         }
         Context context = new Context(List.of(control.split(",")), output, System.out, System.err);
         try {
-            return command.run(context);
+            return context.finish(command.run(context));
         } finally {
             context.close();
         }
--- a/cli/src/main/java/org/bamboohatch/cli/Context.java
+++ b/cli/src/main/java/org/bamboohatch/cli/Context.java
@@ -134,6 +134,20 @@
         return ExitStatus.UNREACHABLE;
     }
 
+    /**
+     * Determines the exit status of a command that has printed everything.
+     *
+     * @param status exit status by which the command has ended
+     * @return that status, or {@link ExitStatus#USAGE} if a part of the results could not be printed
+     */
+    public ExitStatus finish(ExitStatus status) {
+        if (out.checkError()) {
+            err.println("the results could not be printed completely");
+            return ExitStatus.USAGE;
+        }
+        return status;
+    }
+
     /** Closes all connections. */
     public void close() {
         network.stop();
--- a/cli/src/main/java/org/bamboohatch/cli/ExitStatus.java
+++ b/cli/src/main/java/org/bamboohatch/cli/ExitStatus.java
@@ -12,7 +12,7 @@
     NOT_FOUND(4),
     /** The document, the stored data or an input file is invalid or unreadable. */
     INVALID(65),
-    /** The command line is invalid, or the output file cannot be written. */
+    /** The command line is invalid, or the results cannot be written. */
     USAGE(64),
     /** The control processes did not reply, have no leader or did not decide in time. */
     UNREACHABLE(69);
