Fail the list of targets if no leader has answered

"bamboohatch targets" printed "(none)" and ended with 0 when no control process answered, or only followers did, which know no targets: to a program, a fleet without targets. The replies that fail are reported on the error stream only.

The command now ends with 69 unless the leader has answered, as "bamboohatch status" does.

Before, ContextTest.targetsWithoutALeaderAreNotDone: expected UNREACHABLE, but was DONE.

--- a/cli/src/main/java/org/bamboohatch/cli/command/Targets.java
+++ b/cli/src/main/java/org/bamboohatch/cli/command/Targets.java
@@ -19,7 +19,8 @@
     @Override
     public ExitStatus run(Context context) {
         List<Map<String, Object>> rows = new ArrayList<>();
-        for (ControlReply.Status status : context.statuses()) {
+        List<ControlReply.Status> statuses = context.statuses();
+        for (ControlReply.Status status : statuses) {
             for (TargetAnnouncement target : status.targets()) {
                 Map<String, Object> row = new LinkedHashMap<>();
                 row.put("target", target.target().value());
@@ -38,6 +39,7 @@
             }
         }
         context.printRows(rows);
-        return ExitStatus.DONE;
+        boolean hasLeader = statuses.stream().anyMatch(status -> status.role().equals("LEADER"));
+        return hasLeader ? ExitStatus.DONE : ExitStatus.UNREACHABLE;
     }
 }
--- a/cli/src/test/java/org/bamboohatch/cli/ContextTest.java
+++ b/cli/src/test/java/org/bamboohatch/cli/ContextTest.java
@@ -4,8 +4,11 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.util.List;
 
+import org.bamboohatch.cli.command.Targets;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -46,4 +49,16 @@
         whole.close();
         cut.close();
     }
+
+    /** Guards against an empty list of targets because no process that knows them has answered. */
+    @Test
+    void targetsWithoutALeaderAreNotDone() throws IOException {
+        String unreachable;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            unreachable = "127.0.0.1:" + free.getLocalPort();
+        }
+        Context context = context(List.of(unreachable), new ByteArrayOutputStream());
+        assertThat(new Targets().run(context)).isEqualTo(ExitStatus.UNREACHABLE);
+        context.close();
+    }
 }
