State no length in the response to a HEAD request

A caller that sent HEAD to a plain service got "Content-Length: 0" in the place of the length that the service had given: the body that a GET would have was declared to be empty. The entry buffers responses and has none of a HEAD response, and the HTTP server states the length of what is written last.

Such a response is now begun before its last write, so that it states no length.

--- a/entry/src/main/java/org/bamboohatch/entry/http/CallerSinks.java
+++ b/entry/src/main/java/org/bamboohatch/entry/http/CallerSinks.java
@@ -8,6 +8,7 @@
 import org.bamboohatch.http.JsonResponse;
 import org.bamboohatch.http.ResponseStream;
 import org.bamboohatch.kernel.outcome.Refusal;
+import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 
@@ -186,7 +187,11 @@
 
         @Override
         public synchronized void complete(int status, String contentType, String finishReason) {
-            JsonResponse.write(response, callback, status, contentType, buffer.toByteArray());
+            if (HttpMethod.HEAD.is(response.getRequest().getMethod())) {
+                JsonResponse.writeHead(response, callback, status, contentType);
+            } else {
+                JsonResponse.write(response, callback, status, contentType, buffer.toByteArray());
+            }
         }
 
         @Override
--- a/http/src/main/java/org/bamboohatch/http/JsonResponse.java
+++ b/http/src/main/java/org/bamboohatch/http/JsonResponse.java
@@ -11,6 +11,7 @@
 import org.bamboohatch.kernel.outcome.Refusal;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 
 /** Writes JSON responses and errors. */
@@ -51,6 +52,24 @@
         response.write(true, ByteBuffer.wrap(body), callback);
     }
 
+    /**
+     * Writes a response to a request with the method {@code HEAD}, whose body is not known and would have any length.
+     *
+     * @param response the response to write
+     * @param callback completed when the response is written or has failed
+     * @param status HTTP status of the response
+     * @param contentType media type of the body
+     */
+    public static void writeHead(Response response, Callback callback, int status, String contentType) {
+        response.setStatus(status);
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, contentType);
+        // A last write would state its length.
+        response.write(
+                false,
+                BufferUtil.EMPTY_BUFFER,
+                Callback.from(() -> response.write(true, BufferUtil.EMPTY_BUFFER, callback), callback::failed));
+    }
+
     /**
      * Writes an error response. A retry delay is also sent in the {@code Retry-After} header field.
      *
