Complete doc comments, and test a health check without a body

The linter asks for the parameters of two comments and rejects the summary of a third. A plain service that answers its health check with an empty body was healthy before the mapper refused trailing text, and still is.

--- a/agent/src/main/java/org/bamboohatch/agent/driver/ResponseHead.java
+++ b/agent/src/main/java/org/bamboohatch/agent/driver/ResponseHead.java
@@ -34,7 +34,12 @@
                 .map(field -> "the body is coded: " + field);
     }
 
-    /** Indicates whether a head was cut, and the status line of a later response was read as the rest of its line. */
+    /**
+     * Indicates whether a head was cut, and the status line of a later response was read as the rest of its line.
+     *
+     * @param response response of which the head is received
+     * @return {@code true} if a status line stands in the reason or in a field
+     */
     private static boolean isJoined(Response response) {
         return isStatusLine(response.getReason())
                 || response.getHeaders().stream().anyMatch(field -> isStatusLine(field.getValue()));
@@ -44,7 +49,12 @@
         return text != null && STATUS_LINE.matcher(text).find();
     }
 
-    /** Indicates whether a field names a coding that neither the agent nor, without the field, a caller can decode. */
+    /**
+     * Indicates whether a field names a coding that neither the agent nor, without the field, a caller can decode.
+     *
+     * @param field field of a head
+     * @return {@code true} if the body is coded
+     */
     private static boolean isCoded(HttpField field) {
         return field.is(HttpHeader.CONTENT_ENCODING.asString()) && !"identity".equalsIgnoreCase(field.getValue())
                 || field.is(HttpHeader.TRANSFER_ENCODING.asString()) && !"chunked".equalsIgnoreCase(field.getValue());
--- a/agent/src/main/java/org/bamboohatch/agent/driver/TargetHttpClient.java
+++ b/agent/src/main/java/org/bamboohatch/agent/driver/TargetHttpClient.java
@@ -19,6 +19,7 @@
  * HTTP client for calls to a target. The reset of a connection fails a response, whatever was received of it before. Bodies
  * are requested without a coding and not decoded. A response over the maximum size fails.
  */
+@SuppressWarnings("try")
 public final class TargetHttpClient extends HttpClient {
 
     /** Maximum size of a response's head, in bytes. */
--- a/agent/src/test/java/org/bamboohatch/agent/driver/PlainResponseTest.java
+++ b/agent/src/test/java/org/bamboohatch/agent/driver/PlainResponseTest.java
@@ -1,5 +1,7 @@
 package org.bamboohatch.agent.driver;
 
+import java.util.concurrent.TimeUnit;
+
 import org.bamboohatch.agent.driver.ScriptedTarget.End;
 import org.eclipse.jetty.client.HttpClient;
 import org.junit.jupiter.api.AfterEach;
@@ -152,6 +154,15 @@
         assertThat(run(response, End.CLOSE)).isEqualTo("failed ");
     }
 
+    @Test
+    void aServiceIsHealthyWithAnEmptyBody() throws Exception {
+        try (ScriptedTarget target =
+                ScriptedTarget.answering("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", End.CLOSE)) {
+            var state = new PlainDriver().connect(client, target.url()).state();
+            assertThat(state.get(10, TimeUnit.SECONDS).streams()).isEmpty();
+        }
+    }
+
     /** Guards against text that a caller decodes with another character set than its service has encoded it with. */
     @Test
     void theMediaTypeKeepsItsParameters() throws Exception {
--- a/standin/src/main/java/org/bamboohatch/standin/relay/Relay.java
+++ b/standin/src/main/java/org/bamboohatch/standin/relay/Relay.java
@@ -116,7 +116,7 @@
         /** Whether data of this direction has been discarded, after which nothing more is forwarded. */
         private boolean blocked;
 
-        /** What is to be forwarded, in order: each task that is scheduled does the next step. */
+        /** Steps that remain, in order: each task that is scheduled does the next one. */
         private final Queue<Runnable> steps = new ArrayDeque<>();
 
         /** Time at which the preceding step is done; later ones do not overtake it. */
--- a/standin/src/test/java/org/bamboohatch/standin/relay/RelayTest.java
+++ b/standin/src/test/java/org/bamboohatch/standin/relay/RelayTest.java
@@ -32,13 +32,13 @@
 
     private void connect(long delayMillis, long jitterMillis, Exchange exchange) throws IOException {
         InetAddress local = InetAddress.getByName("127.0.0.1");
-        try (ServerSocket listener = new ServerSocket(0, 1, local);
-                ServerSocket free = new ServerSocket(0, 1, local)) {
-            String address = "127.0.0.1:" + free.getLocalPort();
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 1, local)) {
+            port = free.getLocalPort();
+        }
+        try (ServerSocket listener = new ServerSocket(0, 1, local)) {
             String target = "127.0.0.1:" + listener.getLocalPort();
-            int port = free.getLocalPort();
-            free.close();
-            relay = new Relay(new RelaySettings(address, target, "", delayMillis, jitterMillis, 0, 7));
+            relay = new Relay(new RelaySettings("127.0.0.1:" + port, target, "", delayMillis, jitterMillis, 0, 7));
             relay.start();
             try (Socket client = new Socket(local, port);
                     Socket accepted = listener.accept()) {
