Replace no character of an engine's answer

A character that an engine divided between two events, as JSON allows for those outside the basic plane, reached the caller as "??" in an answer that was complete; bytes that are no UTF-8 were replaced too.

The first half of such a character is now forwarded with the second, and both count as tokens then, so that a resumption begins at the right one. Half a character without the other, and a malformed line, fail the run.

Before, EngineAnswerTest.noCharacterOfAnAnswerIsReplaced: expected an emoji, but was "??".

--- a/agent/src/main/java/org/bamboohatch/agent/driver/CompletionsDriver.java
+++ b/agent/src/main/java/org/bamboohatch/agent/driver/CompletionsDriver.java
@@ -1,6 +1,8 @@
 package org.bamboohatch.agent.driver;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.CharBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -130,6 +132,11 @@
         /** Whether the event that ends the stream was received. */
         private boolean done;
 
+        /** Text that was received and not forwarded, with the number of its tokens. */
+        private String heldText = "";
+
+        private int heldTokens;
+
         /** Number of output tokens that the engine may still send. */
         private long remainingTokens;
 
@@ -163,24 +170,47 @@
                 if (!finishReason.isEmpty()) {
                     throw new IOException("text after the finish reason");
                 }
-                if (remainingTokens == 0) {
-                    throw new IOException("more output than was requested");
-                }
-                remainingTokens--;
-                listener.onData(text.getBytes(StandardCharsets.UTF_8), 1);
+                deliver(text);
             }
             if (choice.path("finish_reason").isTextual()) {
                 finishReason = choice.path("finish_reason").asText();
             }
         }
 
+        /**
+         * Forwards the text of an output token. The first half of a character whose second half is in the next event is
+         * forwarded together with that.
+         *
+         * @param text the text, not empty
+         * @throws IOException if the answer is too long, or the text holds half a character
+         */
+        private void deliver(String text) throws IOException {
+            if (remainingTokens == 0) {
+                throw new IOException("more output than was requested");
+            }
+            remainingTokens--;
+            heldTokens++;
+            String received = heldText + text;
+            if (Character.isHighSurrogate(received.charAt(received.length() - 1))) {
+                heldText = received;
+                return;
+            }
+            ByteBuffer encoded = StandardCharsets.UTF_8.newEncoder().encode(CharBuffer.wrap(received));
+            byte[] bytes = new byte[encoded.remaining()];
+            encoded.get(bytes);
+            listener.onData(bytes, heldTokens);
+            heldText = "";
+            heldTokens = 0;
+        }
+
         /**
          * Indicates whether the answer is complete.
          *
-         * @return {@code true} if the engine ended the stream with a finish reason and was not cancelled
+         * @return {@code true} if the engine ended the stream with a finish reason and was not cancelled, and all text is
+         *     forwarded
          */
         boolean isComplete() {
-            return done && !finishReason.isEmpty() && !finishReason.equals(CANCELLED);
+            return done && heldTokens == 0 && !finishReason.isEmpty() && !finishReason.equals(CANCELLED);
         }
     }
 }
--- a/agent/src/test/java/org/bamboohatch/agent/driver/EngineAnswerTest.java
+++ b/agent/src/test/java/org/bamboohatch/agent/driver/EngineAnswerTest.java
@@ -1,5 +1,6 @@
 package org.bamboohatch.agent.driver;
 
+import java.util.List;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -67,6 +68,16 @@
         assertThat(run(stream, End.CLOSE)).startsWith("failed ");
     }
 
+    /** Guards against characters that are replaced because they are malformed, or divided between two events. */
+    @Test
+    void noCharacterOfAnAnswerIsReplaced() throws Exception {
+        assertThat(run(event("\\ud83d", "") + event("\\ude00", "stop") + DONE, End.CLOSE))
+                .isEqualTo("200 text/event-stream \ud83d\ude00");
+        for (String malformed : List.of("\\ud83d", "\\ude00", "\u00c3", "\u00c3(")) {
+            assertThat(run(event(malformed, "stop") + DONE, End.CLOSE)).isEqualTo("failed ");
+        }
+    }
+
     /** Guards against text of another answer that is added to one which has ended. */
     @Test
     void whatFollowsTheEndOfAnAnswerIsNoOutput() throws Exception {
--- a/agent/src/test/java/org/bamboohatch/agent/driver/RecordedRun.java
+++ b/agent/src/test/java/org/bamboohatch/agent/driver/RecordedRun.java
@@ -29,7 +29,7 @@
                 8_000,
                 0,
                 1,
-                1,
+                2,
                 0,
                 null,
                 new TargetCall("GET", "/x", "text/plain", new byte[0]));
--- a/kernel/src/main/java/org/bamboohatch/kernel/stream/ServerSentEventParser.java
+++ b/kernel/src/main/java/org/bamboohatch/kernel/stream/ServerSentEventParser.java
@@ -47,7 +47,7 @@
      * Parses the next part of the stream. Parts may end anywhere, also within a character.
      *
      * @param part next bytes of the stream, which are consumed
-     * @throws IOException if a line is too long, or the consumer refuses the data of an event
+     * @throws IOException if a line is too long or malformed, or the consumer refuses the data of an event
      */
     public void parse(ByteBuffer part) throws IOException {
         while (part.hasRemaining()) {
@@ -64,7 +64,11 @@
 
     /** Completes the current line and delivers its data, if any. */
     private void endLine() throws IOException {
-        String text = line.toString(StandardCharsets.UTF_8).strip();
+        String text = StandardCharsets.UTF_8
+                .newDecoder()
+                .decode(ByteBuffer.wrap(line.toByteArray()))
+                .toString()
+                .strip();
         line.reset();
         if (text.startsWith(DATA_PREFIX)) {
             consumer.accept(text.substring(DATA_PREFIX.length()).strip());
