--- a/agent/src/main/java/org/bamboohatch/agent/driver/HttpCalls.java
+++ b/agent/src/main/java/org/bamboohatch/agent/driver/HttpCalls.java
@@ -1,11 +1,13 @@
 package org.bamboohatch.agent.driver;
 
+import java.io.IOException;
 import java.net.ConnectException;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.bamboohatch.protocol.message.AgentRequest.Dispatch;
@@ -14,14 +16,17 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.http.HttpStatus;
 
 /** HTTP calls to a target that the drivers share. */
 final class HttpCalls {
 
-    static final ObjectMapper MAPPER = new ObjectMapper();
+    /** Mapper of JSON texts that hold one value each. */
+    static final ObjectMapper MAPPER = new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
 
     /** Timeout of calls that the target answers at once, in milliseconds. */
     private static final long CALL_TIMEOUT_MS = 1_000;
@@ -46,17 +51,14 @@
     }
 
     /**
-     * Creates the HTTP request of a dispatched request. Its timeout is the remaining time of the dispatched request. It has a
-     * connection of its own: targets do not repeat an id, so on a kept connection a late second response to an earlier request
-     * could be taken for that of this one.
+     * Creates the HTTP request of a dispatched request. Its timeout is the remaining time of the dispatched request.
      *
      * @param dispatch the dispatched request
      * @return the HTTP request, which has not been sent
      */
     Request newRequest(Dispatch dispatch) {
-        Request request = client.newRequest(targetUrl + dispatch.call().path())
+        Request request = newRequest(dispatch.call().path())
                 .method(dispatch.call().method())
-                .headers(headers -> headers.put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString()))
                 .timeout(dispatch.remainingMillis(), TimeUnit.MILLISECONDS);
         if (dispatch.call().body().length > 0) {
             request.body(new BytesRequestContent(
@@ -65,6 +67,36 @@
         return request;
     }
 
+    /**
+     * Indicates whether a response shows where its body ends. The body of any other response ends with the connection.
+     *
+     * @param result result of a successful request
+     * @return {@code true} if the response has a length, chunks or no body
+     */
+    static boolean showsItsEnd(Result result) {
+        HttpFields fields = result.getResponse().getHeaders();
+        int status = result.getResponse().getStatus();
+        return fields.contains(HttpHeader.CONTENT_LENGTH)
+                || fields.contains(HttpHeader.TRANSFER_ENCODING)
+                || status == HttpStatus.NO_CONTENT_204
+                || status == HttpStatus.NOT_MODIFIED_304
+                || HttpMethod.HEAD.is(result.getRequest().getMethod());
+    }
+
+    /**
+     * Determines whether the target has ended, by a new connection.
+     *
+     * @param path path at the target that may be requested at any time
+     * @return completed with {@code true} if the connection is refused
+     */
+    CompletableFuture<Boolean> hasEnded(String path) {
+        CompletableFuture<Boolean> ended = new CompletableFuture<>();
+        newCall(path)
+                .onRequestCommit(request -> ended.complete(false))
+                .send(result -> ended.complete(result.isFailed() && !mayHaveStarted(result)));
+        return ended;
+    }
+
     /**
      * Sends a GET request.
      *
@@ -72,7 +104,7 @@
      * @return completed with the JSON response, or exceptionally if the call fails or its status is 400 or higher
      */
     CompletableFuture<JsonNode> get(String path) {
-        return send(client.newRequest(targetUrl + path).timeout(CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS));
+        return send(newCall(path));
     }
 
     /**
@@ -82,9 +114,7 @@
      * @return completed with the JSON response, or exceptionally if the call fails or its status is 400 or higher
      */
     CompletableFuture<JsonNode> post(String path) {
-        return send(client.newRequest(targetUrl + path)
-                .method(HttpMethod.POST)
-                .timeout(CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS));
+        return send(newCall(path).method(HttpMethod.POST));
     }
 
     /**
@@ -96,7 +126,7 @@
      */
     CompletableFuture<JsonNode> postOrder(String path, Map<String, Object> order) {
         try {
-            return send(client.newRequest(targetUrl + path)
+            return send(newCall(path)
                     .method(HttpMethod.POST)
                     .body(new BytesRequestContent("application/json", MAPPER.writeValueAsBytes(order)))
                     .timeout(ORDER_TIMEOUT_MS, TimeUnit.MILLISECONDS));
@@ -115,6 +145,24 @@
         return !(result.getRequestFailure() instanceof ConnectException);
     }
 
+    private Request newCall(String path) {
+        return newRequest(path).timeout(CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Creates a GET request with a connection of its own: targets do not repeat an id, so on a kept connection a late second
+     * response to an earlier request could be taken for that of this one. A response with a faulty head fails the request.
+     *
+     * @param path path at the target
+     * @return the request, without a timeout
+     */
+    private Request newRequest(String path) {
+        return client.newRequest(targetUrl + path)
+                .headers(headers -> headers.put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString()))
+                .onResponseHeaders(response ->
+                        ResponseHead.fault(response).ifPresent(fault -> response.abort(new IOException(fault))));
+    }
+
     private static CompletableFuture<JsonNode> send(Request request) {
         CompletableFuture<JsonNode> response = new CompletableFuture<>();
         request.send(new BufferingResponseListener() {
@@ -130,7 +178,7 @@
                                 "HTTP status " + result.getResponse().getStatus());
                     }
                     response.complete(MAPPER.readTree(getContent()));
-                } catch (java.io.IOException | IllegalStateException failure) {
+                } catch (IOException | IllegalStateException failure) {
                     response.completeExceptionally(failure);
                 }
             }
--- a/agent/src/main/java/org/bamboohatch/agent/driver/PlainDriver.java
+++ b/agent/src/main/java/org/bamboohatch/agent/driver/PlainDriver.java
@@ -8,6 +8,7 @@
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.HttpHeader;
 
 /** Driver for plain HTTP services. */
 public final class PlainDriver implements TargetDriver {
@@ -15,6 +16,11 @@
     /** Maximum length of an answer, in bytes. */
     private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 
+    private static final String HEALTH_PATH = "/healthz";
+
+    /** Media type of an answer that names none. */
+    private static final String UNKNOWN_TYPE = "application/octet-stream";
+
     /** Creates a driver; invoked by the service loader. */
     public PlainDriver() {}
 
@@ -47,11 +53,24 @@
                                 HttpCalls.mayHaveStarted(result),
                                 "service connection failed: "
                                         + result.getFailure().getMessage());
-                        return;
+                    } else if (HttpCalls.showsItsEnd(result)) {
+                        deliver(result);
+                    } else {
+                        // A process that has ended closes its connections like one that has sent everything.
+                        calls.hasEnded(HEALTH_PATH).thenAccept(ended -> {
+                            if (ended) {
+                                listener.onFailure(true, "service ended, its response may be incomplete");
+                            } else {
+                                deliver(result);
+                            }
+                        });
                     }
+                }
+
+                private void deliver(Result result) {
                     listener.onData(getContent(), 0);
-                    String type = getMediaType() == null ? "application/octet-stream" : getMediaType();
-                    listener.onEnd(result.getResponse().getStatus(), type, "");
+                    String type = result.getResponse().getHeaders().get(HttpHeader.CONTENT_TYPE);
+                    listener.onEnd(result.getResponse().getStatus(), type == null ? UNKNOWN_TYPE : type, "");
                 }
             });
         }
@@ -63,7 +82,7 @@
 
         @Override
         public CompletableFuture<TargetState> state() {
-            return calls.get("/healthz").thenApply(alive -> new TargetState(List.of(), 0, List.of()));
+            return calls.get(HEALTH_PATH).thenApply(alive -> new TargetState(List.of(), 0, List.of()));
         }
 
         @Override
