Reject a response head in which a second response begins

Callers saw a 200 whose body and length were those of another response: a target stopped within the head of its response and sent another one behind it, for instance a late 500 to the same request. The decoder read the status line of the second response as part of the reason phrase or of the field value in which the first one had stopped, then took the fields and the body of the second as its own. With a response that stopped in "Content-Type: te" and was followed by a 500 with the body "broken", the caller got a sealed "HTTP/1.1 200 OK" with "broken".

Cause: HttpClientCodec accepts any text as a reason phrase or a field value, and repeated request ids. The first id is that of the request, so the response was not discarded as foreign either. Statuses of two or four digits, other protocols than HTTP/1.x, and text behind white space in a field name were accepted too, the last as a field with a shorter name.

TargetCodec decodes the heads of targets more strictly: no status line within a reason phrase or a value, one request id, three digits, HTTP/1.x, and a colon behind the name of a field. 101 is malformed as well, since no request asks for a change of protocol: what followed it was dropped, and the request waited until its deadline. The method that is assumed for a response is that of the latest request, instead of the next one in a queue that a second response empties.

Ruled out: a response that stops in its head and whose connection ends (was lost before too, now tested for each prefix); folded lines and white space before a colon (normalized as RFC 9112 requires, tested); bare LF, CR and NUL in a head (were malformed before too, tested); fields of the target's connection (were dropped before too, tested).

--- a/gateway/src/main/java/org/bamboohatch/gateway/target/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/TargetConnectionPool.java
@@ -19,7 +19,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpResponse;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -30,14 +29,6 @@
 
     private static final Logger LOGGER = LogManager.getLogger(TargetConnectionPool.class);
 
-    /** Maximum size of the status line of a response, in bytes. */
-    private static final int MAX_STATUS_LINE_BYTES = 8 * 1024;
-
-    private static final int MAX_HEADER_BYTES = 64 * 1024;
-
-    /** Maximum size of a part of the body that is passed to a listener, in bytes. */
-    private static final int MAX_PART_BYTES = 64 * 1024;
-
     /** Keep-alive time that is assumed of targets that do not report any, in milliseconds. */
     private static final long DEFAULT_KEEP_ALIVE_MS = 3_000;
 
@@ -153,8 +144,7 @@
             @Override
             protected void initChannel(Channel channel) {
                 channel.pipeline().addLast(connection.new UnrelatedBytesLimit());
-                channel.pipeline()
-                        .addLast(new HttpClientCodec(MAX_STATUS_LINE_BYTES, MAX_HEADER_BYTES, MAX_PART_BYTES));
+                channel.pipeline().addLast(new TargetCodec(requestIdField));
                 channel.pipeline().addLast(connection);
             }
         });
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
@@ -11,6 +11,7 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
@@ -239,6 +240,21 @@
         return new String(stream.readAllBytes(), StandardCharsets.UTF_8);
     }
 
+    /** Reads one response with a length, as is possible on a connection that remains open. */
+    static String readResponse(InputStream stream) throws IOException {
+        StringBuilder response = new StringBuilder();
+        int length = 0;
+        String line;
+        do {
+            line = FakeTarget.readLine(stream);
+            response.append(line).append("\r\n");
+            if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
+                length = Integer.parseInt(line.substring(line.indexOf(':') + 1).strip());
+            }
+        } while (!line.isEmpty());
+        return response + new String(stream.readNBytes(length), StandardCharsets.UTF_8);
+    }
+
     static String request(String method, String path, String id, String moreHeaders, String body) {
         String length = body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n";
         return method + " " + path + " HTTP/1.1\r\nHost: beads.example\r\nRequest-Id: " + id
