Reject responses with a transfer coding other than chunked, or with several lengths

Callers saw a body in another coding as if it were plain, or with the chunk framing in it. A target that answered with "Transfer-Encoding: gzip, chunked" was decoded as chunked, and the gzip coding was lost together with the field, which is not forwarded; "gzip", "identity", "xchunked" or an empty value counted as no framing at all, so that the body, chunk sizes included, ended with the connection. A response of HTTP/1.0 with two lengths was cut or padded to the first, one with a length and chunks was taken by its chunks.

Cause: Netty searches the list of codings for "chunked" and ignores the others; it removes the length of a message that has both; and for HTTP/1.0 it takes the first of several lengths and skips the check of both.

Now a response may have one coding, which is chunked, in HTTP/1.1, and then no length; and one length. Anything else is malformed, so the request is sent elsewhere or fails. The check runs when the head is complete and before Netty determines the framing from it. The gateway sends no TE field, so targets have no reason to use other codings.

Ruled out: negative, empty, signed, hexadecimal, listed and overlong lengths, several lengths in HTTP/1.1 (were malformed before too, now tested).

Before, ResponseFramingTest failed for all 11 codings (200 with "full" or the chunk framing as body where the target closed the connection, 504 at the deadline where it did not), for both fields, and for both cases of HTTP/1.0.

--- a/gateway/src/main/java/org/bamboohatch/gateway/target/TargetCodec.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/TargetCodec.java
@@ -9,6 +9,7 @@
 import io.netty.channel.CombinedChannelDuplexHandler;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
@@ -17,11 +18,12 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.AsciiString;
+import org.bamboohatch.gateway.http.MessageFraming;
 import org.bamboohatch.gateway.http.UniqueFieldHeaders;
 
 /**
  * Encodes requests to a target and decodes its responses, of which there may be more than requests. Rejects a head that
- * may consist of two responses, the first of which stops within it.
+ * may consist of two responses, the first of which stops within it, or that leaves open where the body ends.
  */
 final class TargetCodec extends CombinedChannelDuplexHandler<TargetCodec.Decoder, HttpRequestEncoder> {
 
@@ -70,7 +72,8 @@
                     .setMaxInitialLineLength(MAX_STATUS_LINE_BYTES)
                     .setMaxHeaderSize(MAX_HEADER_BYTES)
                     .setMaxChunkSize(MAX_PART_BYTES));
-            this.uniqueFields = List.of(requestIdField);
+            // In HTTP/1.0, Netty takes the first of several lengths.
+            this.uniqueFields = List.of(requestIdField, HttpHeaderNames.CONTENT_LENGTH.toString());
         }
 
         @Override
@@ -105,6 +108,7 @@
         /** Invoked with a complete head, before its framing is determined. */
         @Override
         protected boolean isContentAlwaysEmpty(HttpMessage message) {
+            MessageFraming.requireUnambiguous(message);
             for (Map.Entry<String, String> field : message.headers()) {
                 requireNoStatusLine(field.getValue());
             }
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/ResponseFramingTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/ResponseFramingTest.java
@@ -15,12 +15,14 @@
 import static org.bamboohatch.gateway.forward.GatewayHarness.readResponse;
 import static org.bamboohatch.gateway.forward.GatewayHarness.request;
 
-/** Responses of targets whose head leaves open which response the body belongs to. */
+/** Responses of targets whose head leaves open where the body ends, or to which response it belongs. */
 @Timeout(60)
 class ResponseFramingTest {
 
     private static final String FIELDS = "Request-Id: a1\r\nAnswer-Seal: s\r\n";
 
+    private static final String CHUNKED_BODY = "\r\n4\r\nfull\r\n0\r\n\r\n";
+
     private static final String HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" + FIELDS;
 
     /** Returns what a caller gets if the target answers with the given bytes and keeps the connection open. */
@@ -35,6 +37,46 @@
         }
     }
 
+    /** Guards against coded bodies that are passed on as if they were plain. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, gzip\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, chunked\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked;x=1\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding:\r\n",
+                "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n"
+            })
+    void aTransferCodingOtherThanChunkedIsMalformed(String head) throws Exception {
+        assertThat(callerSees(head + FIELDS + CHUNKED_BODY)).startsWith("HTTP/1.1 502");
+    }
+
+    /** Guards against bodies that end where only one of several contradicting fields says so. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 14\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 4, 14\r\n",
+                "HTTP/1.0 200 OK\r\nContent-Length: 4\r\nContent-Length: 14\r\n",
+                "HTTP/1.0 200 OK\r\nContent-Length: 14\r\nTransfer-Encoding: chunked\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: -4\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length:\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: +4\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 0x4\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 4 4\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n"
+            })
+    void anAmbiguousLengthIsMalformed(String head) throws Exception {
+        assertThat(callerSees(head + FIELDS + CHUNKED_BODY)).startsWith("HTTP/1.1 502");
+    }
+
     /** Guards against head fields that another implementation would read differently. */
     @ParameterizedTest
     @ValueSource(
