Pass on the length that a response without a body declares

Callers of HEAD saw "Content-Length: 0" instead of the length that the target declared, those of a 304 too, and those of HEAD on a stream got a 502. A refusal of a HEAD request within its head or body carried a body, which callers must not expect.

Cause: the length was that of the buffer, which is empty for these responses; a cache then takes its copy for stale or empty. A stream without events counted as cut off. A refusal that closes the connection did not look at the method.

Now such a response has the declared length, or neither length nor chunks if none is declared, and is never treated as a stream.

Ruled out: the last chunk behind the head of a chunked response to HEAD, which would stand before the next response. Netty removes the field from a response without a body, so the gateway sent a length instead; the test asks for two pipelined requests and finds no byte between the responses, also for 204, 205 and 304 in each framing. A response to HEAD behind a late response to another request is covered as well.

Before, CallerFramingTest failed in all seven cases of aResponseToHeadHasTheLengthOfItsTargetAndNoBody ("content-length: 0", or 502 for streams), in aRefusalOfHeadHasNoBody (a 413 with a body) and for the three cases of 304.

--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardingAttempt.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardingAttempt.java
@@ -6,7 +6,9 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.concurrent.Future;
 import org.bamboohatch.gateway.GatewayClock;
@@ -232,7 +234,7 @@
             forwarded.onNotExecuted(this, head);
             return;
         }
-        boolean events = success && isEventStream(head);
+        boolean events = success && isEventStream(head) && !isHeadOnly();
         if (forwarded.mustReplace(head, events)) {
             mode = Mode.DISCARD;
             forwarded.onFailedResponse(this, head);
@@ -311,6 +313,16 @@
         }
     }
 
+    /**
+     * Indicates whether the response has no body even if its head declares one.
+     *
+     * @return whether it answers a HEAD request or states that the resource has not changed
+     */
+    private boolean isHeadOnly() {
+        return forwarded.request().method().equals(HttpMethod.HEAD)
+                || response.status().equals(HttpResponseStatus.NOT_MODIFIED);
+    }
+
     /**
      * Returns the content length that the head of the response declares.
      *
@@ -347,7 +359,8 @@
         }
         if (modeAtEnd == Mode.EVENTS || modeAtEnd == Mode.BUFFER) {
             boolean stream = modeAtEnd == Mode.EVENTS;
-            forwarded.beginResponse(this, response, stream ? -1 : buffer.readableBytes());
+            long length = isHeadOnly() ? contentLength() : buffer.readableBytes();
+            forwarded.beginResponse(this, response, stream ? -1 : length);
             if (!stream) {
                 forwarded.responder().content(buffer.retainedDuplicate());
             }
--- a/gateway/src/main/java/org/bamboohatch/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/http/CallerConnection.java
@@ -237,9 +237,10 @@
      * @param message error message for the caller
      */
     private void refuseAndClose(ErrorCode code, String message) {
+        boolean headOnly = head != null && head.method().equals(HttpMethod.HEAD);
         head = null;
         body = null;
-        exchange = new Exchange(false, false);
+        exchange = new Exchange(false, headOnly);
         stage = Stage.RESPONSE;
         server.logRejection(code);
         exchange.refuse(Refusal.notRun(code, message));
@@ -328,7 +329,7 @@
             closes = !keepAlive || server.isStopping();
             if (length >= 0) {
                 HttpUtil.setContentLength(response, length);
-            } else {
+            } else if (!headOnly && !status.equals(HttpResponseStatus.NOT_MODIFIED)) {
                 HttpUtil.setTransferEncodingChunked(response, true);
             }
             if (closes) {
--- a/gateway/src/main/java/org/bamboohatch/gateway/http/Responder.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/http/Responder.java
@@ -13,7 +13,8 @@
      *
      * @param status status of the response
      * @param headers header fields, without those that are specific to a connection; modified by the responder
-     * @param length length of the body in bytes, negative if it is not known
+     * @param length length of the body in bytes, negative if it is not known; for a response without a body to HEAD, or of
+     *     status 304, the length that the body would have
      */
     void head(HttpResponseStatus status, HttpHeaders headers, long length);
 
