Close the connection of a target that sends more bytes with the end of a response

Callers saw a 502 with an unknown outcome for a sound response of the target: bytes that had come in one read with the end of the response before stayed in the decoder, and the connection was used again. The decoder then read them as the beginning of the next response, "restHTTP/1.1 200 OK" for instance, which is malformed.

Cause: bytes that arrive while no request is in progress close the connection, and so does a whole second response behind the first in one read; a part of a line in the same read did neither, as it yields no message. The same held for the body of a 204, a 205 or a 304, which must not have one.

Now a connection is only kept if nothing is left to decode when the response is complete. Late responses that come in a read of their own are treated as before. HttpTargetConnectionTest uses the codec of the product in the place of Netty's, with the same checks.

--- a/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
@@ -334,7 +334,8 @@
         listener = null;
         unrelatedBytes = 0;
         channel.config().setAutoRead(true);
-        if (reusable && requestWrite.isDone() && channel.isActive()) {
+        boolean drained = !channel.pipeline().get(TargetCodec.class).hasUndecodedBytes();
+        if (reusable && drained && requestWrite.isDone() && channel.isActive()) {
             idleSince = GatewayClock.now();
             pool.release(this);
         } else {
--- a/gateway/src/main/java/org/bamboohatch/gateway/target/TargetCodec.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/TargetCodec.java
@@ -62,6 +62,16 @@
         super.write(context, message, promise);
     }
 
+    /**
+     * Indicates whether the target has sent more than was decoded so far. Behind a complete response, such bytes would be
+     * read as the beginning of the next one.
+     *
+     * @return whether bytes are left
+     */
+    boolean hasUndecodedBytes() {
+        return inboundHandler().hasUndecodedBytes();
+    }
+
     /** Decodes the responses of a target. */
     final class Decoder extends HttpResponseDecoder {
 
@@ -115,6 +125,10 @@
             return HttpMethod.HEAD.equals(method) || super.isContentAlwaysEmpty(message);
         }
 
+        private boolean hasUndecodedBytes() {
+            return actualReadableBytes() > 0;
+        }
+
         private static void requireNoStatusLine(String text) {
             if (STATUS_LINE.matcher(text).find()) {
                 throw new IllegalArgumentException("status line within the head of another response");
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/ResponseFramingTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/ResponseFramingTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.bamboohatch.gateway.forward.FakeTarget.answer;
 import static org.bamboohatch.gateway.forward.FakeTarget.write;
 import static org.bamboohatch.gateway.forward.GatewayHarness.readResponse;
 import static org.bamboohatch.gateway.forward.GatewayHarness.request;
@@ -155,6 +156,33 @@
         assertThat(acceptedPrefixes(HEAD + "Content-Length: 0\r\n\r\n", "")).isEmpty();
     }
 
+    /** Guards against the loss of a request whose response stands behind bytes that came with the one before. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n@\r\nfullrest",
+                "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n@\r\nfullHTTP/1.1 200 ",
+                "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n@\r\nfullHTTP/1.1 200 OK\r\n@Other: ",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n@\r\n4\r\nfull\r\n0\r\n\r\n4",
+                "HTTP/1.1 204 No Content\r\nContent-Length: 4\r\n@\r\nfull",
+                "HTTP/1.1 205 Reset Content\r\nContent-Length: 4\r\n@\r\nfullrest",
+                "HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\n@\r\nfull"
+            })
+    void bytesBehindAResponseAreNotReadAsTheNextOne(String first) throws Exception {
+        FakeTarget.Script script = (received, connection) -> {
+            write(connection, received.id().equals("a1") ? first.replace("@", FIELDS) : answer("next", "of next"));
+            return true;
+        };
+        try (FakeTarget target = new FakeTarget(script);
+                GatewayHarness gateway = new GatewayHarness(target)) {
+            assertThat(gateway.call(request("POST", "/order/x", "a1", "", "crates")))
+                    .startsWith(first.substring(0, 12));
+            assertThat(gateway.call(request("POST", "/order/x", "next", "", "crates")))
+                    .startsWith("HTTP/1.1 200")
+                    .endsWith("of next");
+        }
+    }
+
     /** Guards against requests that wait for a response which a change of protocol has ended. */
     @Test
     void aSwitchOfProtocolsIsMalformed() throws Exception {
--- a/gateway/src/test/java/org/bamboohatch/gateway/target/HttpTargetConnectionTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/target/HttpTargetConnectionTest.java
@@ -12,7 +12,6 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
@@ -38,8 +37,8 @@
 
     private final SlowWrites writes = new SlowWrites();
 
-    private final EmbeddedChannel channel =
-            new EmbeddedChannel(writes, connection.new UnrelatedBytesLimit(), new HttpClientCodec(), connection);
+    private final EmbeddedChannel channel = new EmbeddedChannel(
+            writes, connection.new UnrelatedBytesLimit(), new TargetCodec("Request-Id"), connection);
 
     private final List<String> events = new ArrayList<>();
 
