Reject a body in which a second response begins

Callers saw a body that went on with the head and the body of a second response, and streams whose events came twice and ended as complete. A target that answers twice adds the second response to the first where that one ends with its connection, or fills what is missing of a length or a chunk if it stopped in its body.

Cause: such a body has no end of its own, so whatever arrives belongs to it. An event without a number between the two copies of a stream hid that the numbers begin again.

EmbeddedHeadDetector looks for a status line that is followed by the field with the id of a request, at the beginning of a line and with no empty line between. All targets repeat that field, and a body has no reason to, unless it quotes a response of this system line by line; quotes in other forms are accepted (tested). A response with such a body is malformed: the first may be whole or cut, which cannot be told. The same holds if a body with a length may stop within a status line and more bytes follow at once. Events that were complete before are passed on as they arrive, then the stream is continued elsewhere or broken off.

Ruled out: chunks (the size of the next chunk is malformed, tested). Not detected: a rest of the second response that lacks its head, or a body whose length ends within the head when the rest comes in a later read.

--- a/gateway/src/main/java/org/bamboohatch/gateway/target/TargetCodec.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/TargetCodec.java
@@ -4,26 +4,32 @@
 import java.util.Map;
 import java.util.regex.Pattern;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.CombinedChannelDuplexHandler;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 import org.bamboohatch.gateway.http.MessageFraming;
 import org.bamboohatch.gateway.http.UniqueFieldHeaders;
 
 /**
- * Encodes requests to a target and decodes its responses, of which there may be more than requests. Rejects a head that
- * may consist of two responses, the first of which stops within it, or that leaves open where the body ends.
+ * Encodes requests to a target and decodes its responses, of which there may be more than requests. Rejects a head or a
+ * body that may consist of two responses, the first of which stops within it, and a head that leaves open where the body
+ * ends.
  */
 final class TargetCodec extends CombinedChannelDuplexHandler<TargetCodec.Decoder, HttpRequestEncoder> {
 
@@ -75,17 +81,52 @@
     /** Decodes the responses of a target. */
     final class Decoder extends HttpResponseDecoder {
 
+        private final String requestIdField;
+
         private final List<String> uniqueFields;
 
+        /** Examines the body of the response that arrives, null before the first. */
+        private EmbeddedHeadDetector bodyDetector;
+
         Decoder(String requestIdField) {
             super(new HttpDecoderConfig()
                     .setMaxInitialLineLength(MAX_STATUS_LINE_BYTES)
                     .setMaxHeaderSize(MAX_HEADER_BYTES)
                     .setMaxChunkSize(MAX_PART_BYTES));
+            this.requestIdField = requestIdField;
             // In HTTP/1.0, Netty takes the first of several lengths.
             this.uniqueFields = List.of(requestIdField, HttpHeaderNames.CONTENT_LENGTH.toString());
         }
 
+        @Override
+        protected void decode(ChannelHandlerContext context, ByteBuf input, List<Object> messages) throws Exception {
+            int first = messages.size();
+            super.decode(context, input, messages);
+            for (int index = first; index < messages.size(); index++) {
+                Object message = messages.get(index);
+                if (message instanceof HttpResponse) {
+                    bodyDetector = new EmbeddedHeadDetector(requestIdField);
+                }
+                if (message instanceof HttpContent content && isJoined(content, input.isReadable())) {
+                    content.setDecoderResult(
+                            DecoderResult.failure(new IllegalArgumentException("head of a response within a body")));
+                }
+            }
+        }
+
+        /**
+         * Indicates whether a part of a body may belong to another response.
+         *
+         * @param content the part
+         * @param followed whether more bytes have arrived behind it
+         * @return whether another head was detected, or may begin in the body and go on behind it
+         */
+        private boolean isJoined(HttpContent content, boolean followed) {
+            boolean last = content instanceof LastHttpContent;
+            return content.content().isReadable()
+                    && (bodyDetector.append(content.content()) || last && followed && bodyDetector.mayBeWithinHead());
+        }
+
         @Override
         protected HttpMessage createMessage(String[] statusLine) {
             if (!VERSION.matcher(statusLine[0]).matches()
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/ResponseFramingTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/ResponseFramingTest.java
@@ -12,6 +12,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.bamboohatch.gateway.forward.FakeTarget.answer;
+import static org.bamboohatch.gateway.forward.FakeTarget.streamHead;
 import static org.bamboohatch.gateway.forward.FakeTarget.write;
 import static org.bamboohatch.gateway.forward.GatewayHarness.readResponse;
 import static org.bamboohatch.gateway.forward.GatewayHarness.request;
@@ -183,6 +184,63 @@
         }
     }
 
+    /** Guards against a second response that is passed on as a part of the body of the first. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "@\r\nwhole bodyHTTP/1.1 200 OK\r\n@\r\nwhole body",
+                "@\r\nwhole body\nHTTP/1.0 500 Broken\r\nContent-Length: 4\r\n@\r\nlate",
+                "@\r\nparHHTTP/1.1 500\r\nContent-Length: 4\r\nREQUEST-ID:b\r\n\r\nlate",
+                "@Content-Length: 70\r\n\r\npartHTTP/1.1 200 OK\r\n@Content-Length: 70\r\n\r\npart and rest",
+                "@Content-Length: 30\r\n\r\npartHTTP/1.1 200 OK\r\n@Content-Length: 30\r\n\r\npart and rest",
+                "@Content-Length: 6\r\n\r\npartHTTP/1.1 200 OK\r\n@Content-Length: 6\r\n\r\npartly",
+                "@Transfer-Encoding: chunked\r\n\r\n1e\r\npartHTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n",
+                "@Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\nHTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n"
+            })
+    void aSecondResponseWithinABodyIsMalformed(String response) throws Exception {
+        FakeTarget.Script script = (received, connection) -> {
+            write(connection, "HTTP/1.1 200 OK\r\n" + response.replace("@", FIELDS));
+            return false;
+        };
+        try (FakeTarget target = new FakeTarget(script);
+                GatewayHarness gateway = new GatewayHarness(target)) {
+            assertThat(gateway.call(request("POST", "/order/x", "a1", "", "crates")))
+                    .startsWith("HTTP/1.1 502");
+        }
+    }
+
+    /** Guards against streams whose second copy, sent late, reaches the caller as events of the first. */
+    @ParameterizedTest
+    @ValueSource(strings = {"id: 1\ndata: a\n\n", "id: 1\ndata: a\n\nid: 2\nda", "id: 1\ndata: a\n\nid: 2\ndata: c\n"})
+    void aSecondResponseWithinAStreamBreaksItOff(String events) throws Exception {
+        String head = streamHead("a1", "s").replace("Transfer-Encoding: chunked\r\n", "");
+        FakeTarget.Script script = (received, connection) -> {
+            for (String line : (head + events + head + "id: 2\ndata: b\n\n").split("(?<=\n)")) {
+                write(connection, line);
+            }
+            return false;
+        };
+        try (FakeTarget target = new FakeTarget(script);
+                GatewayHarness gateway = new GatewayHarness(target)) {
+            assertThat(gateway.call(request("POST", "/stream/x", "a1", "", "prompt")))
+                    .doesNotContain("data: b")
+                    .doesNotEndWith("\r\n0\r\n\r\n");
+        }
+    }
+
+    /** Guards against the rejection of a body that speaks of responses. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nOther: x\r\n\r\nRequest-Id: a1",
+                "data: HTTP/1.1 200 OK\ndata: Request-Id: a1\n\n",
+                "GET / HTTP/1.1\r\nRequest-Id: a1\r\n\r\n",
+                "HTTP/1.1 200 OK"
+            })
+    void aBodyThatQuotesAResponseIsAccepted(String body) throws Exception {
+        assertThat(callerSees(answer("a1", body))).startsWith("HTTP/1.1 200").endsWith(body);
+    }
+
     /** Guards against requests that wait for a response which a change of protocol has ended. */
     @Test
     void aSwitchOfProtocolsIsMalformed() throws Exception {
