Refuse requests with a transfer coding other than chunked, or with several lengths

A request could stand within the body of another one: behind a head with "Transfer-Encoding: gzip" or "xchunked" the gateway read the body as the next requests, and ran those that it found there. Bodies in "gzip, chunked" reached the target coded, but without the field that says so. In HTTP/1.0 two lengths, chunks, and a length together with chunks were accepted; in both versions, a GET with the field Sec-WebSocket-Key1 and its sister was given the next eight bytes as its body.

Cause: Netty searches the list of codings for "chunked" and takes a request without it for one without a body; it checks lengths in HTTP/1.1 only; and it implements a draft of the WebSocket protocol whose request has a body that no field declares. The check of the gateway was the hook for one of these cases.

Ruled out: several lengths in HTTP/1.1, signed and empty lengths, a length with chunks (were refused before too).

--- a/gateway/src/main/java/org/bamboohatch/gateway/http/StrictRequestDecoder.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/http/StrictRequestDecoder.java
@@ -1,7 +1,12 @@
 package org.bamboohatch.gateway.http;
 
+import java.util.List;
+
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 
 /**
@@ -10,6 +15,9 @@
  */
 final class StrictRequestDecoder extends HttpRequestDecoder {
 
+    /** Fields that must not be repeated. In HTTP/1.0, Netty takes the first of several lengths. */
+    private static final List<String> UNIQUE_FIELDS = List.of(HttpHeaderNames.CONTENT_LENGTH.toString());
+
     /**
      * Creates a decoder with a size limit.
      *
@@ -23,7 +31,20 @@
     }
 
     @Override
-    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-        throw new IllegalArgumentException("both Content-Length and Transfer-Encoding: chunked");
+    protected HttpMessage createMessage(String[] requestLine) throws Exception {
+        HttpRequest request = (HttpRequest) super.createMessage(requestLine);
+        return new DefaultHttpRequest(
+                request.protocolVersion(), request.method(), request.uri(), new UniqueFieldHeaders(UNIQUE_FIELDS));
+    }
+
+    /** Invoked with a complete head, before its framing is determined. */
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        MessageFraming.requireUnambiguous(message);
+        // Netty gives requests with this field of a draft protocol a body of eight bytes.
+        if (message.headers().contains(HttpHeaderNames.SEC_WEBSOCKET_KEY1)) {
+            throw new IllegalArgumentException("body without a declared length");
+        }
+        return super.isContentAlwaysEmpty(message);
     }
 }
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/HostileInputTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/HostileInputTest.java
@@ -7,6 +7,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.bamboohatch.gateway.forward.GatewayHarness.request;
@@ -72,6 +74,37 @@
                         + "0\r\n\r\nGET /read/smuggled HTTP/1.1\r\n\r\n");
     }
 
+    /** Guards against requests within the body of another one, and against coded bodies that are passed on as plain. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Transfer-Encoding: gzip\r\n",
+                "Transfer-Encoding: identity\r\n",
+                "Transfer-Encoding: xchunked\r\n",
+                "Transfer-Encoding:\r\n",
+                "Transfer-Encoding: gzip, chunked\r\n",
+                "Transfer-Encoding: chunked, chunked\r\n",
+                "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+                "Content-Length: 5\r\nTransfer-Encoding: gzip\r\n",
+                "Sec-WebSocket-Key1: a\r\nSec-WebSocket-Key2: b\r\n"
+            })
+    void anUnknownBodyLengthIsRefused(String fields) throws Exception {
+        String smuggled = request("GET", "/read/smuggled", "b", "", "");
+        assertStatus(400, request("GET", "/read/x", "a", fields, "") + "0\r\n\r\n" + smuggled);
+    }
+
+    /** Guards against lengths that Netty only checks in requests of HTTP/1.1. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Content-Length: 0\r\nContent-Length: 5\r\n",
+                "Transfer-Encoding: chunked\r\n",
+                "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n"
+            })
+    void anUnknownBodyLengthOfHttp10IsRefused(String fields) throws Exception {
+        assertStatus(400, request("POST", "/read/x", "a", fields, "").replace("HTTP/1.1", "HTTP/1.0") + "0\r\n\r\n");
+    }
+
     @Test
     void bytesThatAreNotARequest() throws Exception {
         assertStatus(400, "\u0001\u0002 nonsense\r\n\r\n");
