Forward exactly one host and one id with each request

A caller that lists "Request-Id" or "Host" in its Connection field got a 504 at its deadline: the gateway removed the field, the target's response named no id or another one, and the gateway took it for a late response to an earlier request. A caller that sends two hosts or two ids had the first used for the route and for telling responses apart, while the target got both and might use the second.

Cause: the options of a connection were removed from a request whatever they name, and repeated fields were forwarded as they came.

Now host and id are always forwarded, as RFC 9110 lets no one list fields that all recipients need, and a request with two of either is refused with 400.

Before, fieldsOfTheCallersConnectionAreNotForwardedButHostAndIdAre failed with a 504 and aRepeatedHostOrIdIsRefused with a 200. Upgrade, its settings and the caller's own options were removed before too, which the first test now holds.

--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/OutboundHeaders.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/OutboundHeaders.java
@@ -31,11 +31,15 @@
 
     private final Dialect dialect;
 
+    /** Fields that are forwarded even if they are listed as options of the connection, in lower case. */
+    private final Set<String> requiredFields;
+
     /** Fields of callers' requests that are dropped, in lower case: the caller's key and those that the gateway sets. */
     private final Set<String> reservedFields;
 
     OutboundHeaders(Dialect dialect) {
         this.dialect = dialect;
+        this.requiredFields = lowerCase(HttpHeaderNames.HOST.toString(), dialect.requestId());
         this.reservedFields = lowerCase(
                 dialect.apiKey(),
                 dialect.clientAccount(),
@@ -85,13 +89,14 @@
      * @param excluded further fields to drop, in lower case
      * @return the copy
      */
-    private static HttpHeaders copy(HttpHeaders source, Set<String> excluded) {
+    private HttpHeaders copy(HttpHeaders source, Set<String> excluded) {
         Set<String> connectionOptions = new TreeSet<>();
         for (String value : source.getAll(HttpHeaderNames.CONNECTION)) {
             for (String name : value.split(",")) {
                 connectionOptions.add(name.strip().toLowerCase(Locale.ROOT));
             }
         }
+        connectionOptions.removeAll(requiredFields);
         HttpHeaders copy = new DefaultHttpHeaders(false);
         for (Map.Entry<String, String> field : source) {
             String name = field.getKey().toLowerCase(Locale.ROOT);
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/RequestAdmission.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/RequestAdmission.java
@@ -1,6 +1,7 @@
 package org.bamboohatch.gateway.forward;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 
 import com.dynatrace.hash4j.hashing.Hashing;
@@ -85,11 +86,11 @@
 
     private AdmissionResult admit(
             InboundRequest request, RouteTable table, Route route, Optional<FleetAccount> account) {
-        String id = request.headers().get(dialect.requestId());
-        if (id == null) {
-            return new Refused(Refusal.notRun(ErrorCode.INVALID_REQUEST, "The request has no id."));
+        List<String> ids = request.headers().getAll(dialect.requestId());
+        if (ids.size() != 1) {
+            return new Refused(Refusal.notRun(ErrorCode.INVALID_REQUEST, "The request has no id, or several."));
         }
-        long hash = Hashing.wyhashFinal4().hashCharsToLong(id);
+        long hash = Hashing.wyhashFinal4().hashCharsToLong(ids.get(0));
         FleetService service = table.service(route.serviceFor(hash)).orElseThrow();
         long callerTimeout = request.longHeader(dialect.timeout(), route.timeoutMillis());
         long deadline = request.arrivedAt() + Math.min(route.timeoutMillis(), Math.max(0, callerTimeout));
--- a/gateway/src/main/java/org/bamboohatch/gateway/http/StrictRequestDecoder.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/http/StrictRequestDecoder.java
@@ -10,13 +10,14 @@
 import io.netty.handler.codec.http.HttpRequestDecoder;
 
 /**
- * Decodes requests and rejects those with an ambiguous body length, which the gateway and another HTTP implementation
- * could interpret differently.
+ * Decodes requests and rejects those with an ambiguous host or body length, which the gateway and another HTTP
+ * implementation could interpret differently.
  */
 final class StrictRequestDecoder extends HttpRequestDecoder {
 
     /** Fields that must not be repeated. In HTTP/1.0, Netty takes the first of several lengths. */
-    private static final List<String> UNIQUE_FIELDS = List.of(HttpHeaderNames.CONTENT_LENGTH.toString());
+    private static final List<String> UNIQUE_FIELDS =
+            List.of(HttpHeaderNames.CONTENT_LENGTH.toString(), HttpHeaderNames.HOST.toString());
 
     /**
      * Creates a decoder with a size limit.
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/ForwardingTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/ForwardingTest.java
@@ -67,6 +67,23 @@
         }
     }
 
+    /** Guards against callers that have the gateway remove what the target needs, and against upgrades. */
+    @Test
+    void fieldsOfTheCallersConnectionAreNotForwardedButHostAndIdAre() throws Exception {
+        try (FakeTarget target = new FakeTarget(ForwardingTest::serve);
+                GatewayHarness gateway = new GatewayHarness(target)) {
+            String fields = "Connection: host, Request-ID, Upgrade, HTTP2-Settings,x-own\r\nUpgrade: h2c\r\n"
+                    + "HTTP2-Settings: x\r\nX-Own: y\r\nOther: kept\r\n";
+            String seen = gateway.call(request("POST", "/order/x", "a1", fields, "crates"));
+            assertThat(seen).startsWith("HTTP/1.1 200").endsWith("body of a1");
+            assertThat(target.received.get(0).headers())
+                    .containsEntry("host", "beads.example")
+                    .containsEntry("request-id", "a1")
+                    .containsEntry("other", "kept")
+                    .doesNotContainKeys("connection", "upgrade", "http2-settings", "x-own");
+        }
+    }
+
     @Test
     void aNonIdempotentRequestIsNotRepeatedAfterItMayHaveRun() throws Exception {
         FakeTarget.Script closingWithoutResponse = (received, connection) -> false;
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/HostileInputTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/HostileInputTest.java
@@ -105,6 +105,13 @@
         assertStatus(400, request("POST", "/read/x", "a", fields, "").replace("HTTP/1.1", "HTTP/1.0") + "0\r\n\r\n");
     }
 
+    /** Guards against requests that are routed by one host or id and run by another. */
+    @Test
+    void aRepeatedHostOrIdIsRefused() throws Exception {
+        assertStatus(400, request("GET", "/read/x", "a", "Host: other.example\r\n", ""));
+        assertStatus(400, request("GET", "/read/x", "a", "request-id: b\r\n", ""));
+    }
+
     @Test
     void bytesThatAreNotARequest() throws Exception {
         assertStatus(400, "\u0001\u0002 nonsense\r\n\r\n");
