Refuse CONNECT at once

A CONNECT request with a path was forwarded to a target, and its response came back as that of a tunnel, in which a caller takes all further bytes for the other side's. Netty's codec for targets stops decoding after such a response.

Cause: the admission looked at the target of the request, which of CONNECT is usually no path, but not at its method.

Now CONNECT is refused with 400 whatever it names. OPTIONS with an asterisk, PRI of HTTP/2 and absolute targets were refused at once before too; the first two are now tested.

Before, aTunnelIsRefused failed with "HTTP/1.1 200 OK".

--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/RequestAdmission.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/RequestAdmission.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import com.dynatrace.hash4j.hashing.Hashing;
+import io.netty.handler.codec.http.HttpMethod;
 import org.bamboohatch.document.fleet.FleetAccount;
 import org.bamboohatch.document.fleet.FleetService;
 import org.bamboohatch.document.fleet.Route;
@@ -64,7 +65,8 @@
         }
         RouteTable table = view.routeTable().get();
         String host = request.headers().get("Host");
-        if (host == null || !request.uri().startsWith("/")) {
+        boolean tunnel = request.method().equals(HttpMethod.CONNECT);
+        if (host == null || tunnel || !request.uri().startsWith("/")) {
             return new Refused(Refusal.notRun(ErrorCode.INVALID_REQUEST, "The request names no host or no path."));
         }
         Optional<Route> route = table.route(host, request.path());
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/HostileInputTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/HostileInputTest.java
@@ -112,6 +112,15 @@
         assertStatus(400, request("GET", "/read/x", "a", "request-id: b\r\n", ""));
     }
 
+    /** Guards against a tunnel to a target, whose response would have no end. */
+    @Test
+    void aTunnelIsRefused() throws Exception {
+        assertStatus(400, request("CONNECT", "/read/x", "a", "", "") + "\1\2\3");
+        assertStatus(400, request("CONNECT", "beads.example:443", "a", "", "") + "\1\2\3");
+        assertStatus(400, request("OPTIONS", "*", "a", "", ""));
+        assertStatus(400, "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n");
+    }
+
     @Test
     void bytesThatAreNotARequest() throws Exception {
         assertStatus(400, "\u0001\u0002 nonsense\r\n\r\n");
