End responses of unknown length to HTTP/1.0 with the connection

Callers of HTTP/1.0 got chunks, which are no part of that version: sizes and the last chunk stood in the body of every stream. With Connection: keep-alive the connection remained open without a word about it in the response, so that a caller that reads until its end waited for the idle timeout.

Cause: the version of the request was not looked at.

Now such a body is sent as it is and ends with the connection, which is always closed after a response to HTTP/1.0, as RFC 9112 asks of proxies. A stream that is broken off must not look complete then: until the last byte is written, SO_LINGER lets any end of the connection reset it, an abort as well as a failure of this process.

Ruled out: aborted responses with chunks or a length, also while the caller has not read them and bytes wait to be sent. Order of pipelined requests, one of which is refused, too large or broken off: right before too, and tested now.

--- a/gateway/src/main/java/org/bamboohatch/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/http/CallerConnection.java
@@ -14,6 +14,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -49,6 +50,12 @@
     /** Time for which input is still read before a connection is closed, so that the caller can read the response. */
     private static final long LINGER_MS = 300;
 
+    /** Value of {@code SO_LINGER} with which a connection is reset when it is closed. */
+    private static final int RESET_ON_CLOSE = 0;
+
+    /** Value of {@code SO_LINGER} with which unsent bytes are sent after the connection is closed. */
+    private static final int NO_RESET_ON_CLOSE = -1;
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
@@ -221,8 +228,9 @@
         stage = Stage.RESPONSE;
         InboundRequest request =
                 new InboundRequest(head.method(), head.uri(), head.headers(), body.toByteArray(), headReceivedAt);
-        Exchange started =
-                new Exchange(HttpUtil.isKeepAlive(head), head.method().equals(HttpMethod.HEAD));
+        boolean chunksAllowed = head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
+        Exchange started = new Exchange(
+                chunksAllowed && HttpUtil.isKeepAlive(head), head.method().equals(HttpMethod.HEAD), chunksAllowed);
         exchange = started;
         head = null;
         body = null;
@@ -240,7 +248,7 @@
         boolean headOnly = head != null && head.method().equals(HttpMethod.HEAD);
         head = null;
         body = null;
-        exchange = new Exchange(false, headOnly);
+        exchange = new Exchange(false, headOnly, false);
         stage = Stage.RESPONSE;
         server.logRejection(code);
         exchange.refuse(Refusal.notRun(code, message));
@@ -295,20 +303,24 @@
     /** A request and its response. */
     private final class Exchange implements Responder {
 
-        /** Whether the caller asked to keep the connection open. */
+        /** Whether the connection remains open for further requests; never with HTTP/1.0, where callers may not expect it. */
         private final boolean keepAlive;
 
         /** Whether the response has no body even if its head declares one, as for a HEAD request. */
         private final boolean headOnly;
 
+        /** Whether the caller understands chunks; otherwise a body without a length ends with the connection. */
+        private final boolean chunksAllowed;
+
         private CallerRequestHandler.Listener listener = NoOpListener.INSTANCE;
 
         /** Whether the connection is closed after the response. */
         private boolean closes;
 
-        Exchange(boolean keepAlive, boolean headOnly) {
+        Exchange(boolean keepAlive, boolean headOnly, boolean chunksAllowed) {
             this.keepAlive = keepAlive;
             this.headOnly = headOnly;
+            this.chunksAllowed = chunksAllowed;
         }
 
         /**
@@ -330,7 +342,7 @@
             if (length >= 0) {
                 HttpUtil.setContentLength(response, length);
             } else if (!headOnly && !status.equals(HttpResponseStatus.NOT_MODIFIED)) {
-                HttpUtil.setTransferEncodingChunked(response, true);
+                beginUnknownLength(response);
             }
             if (closes) {
                 headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -339,6 +351,20 @@
             context.flush();
         }
 
+        /**
+         * Lets the response show where its body ends. If that is the end of the connection, any end before the response is
+         * complete resets the connection, so that the caller detects it.
+         *
+         * @param response head of the response
+         */
+        private void beginUnknownLength(HttpResponse response) {
+            if (chunksAllowed) {
+                HttpUtil.setTransferEncodingChunked(response, true);
+            } else {
+                context.channel().config().setOption(ChannelOption.SO_LINGER, RESET_ON_CLOSE);
+            }
+        }
+
         @Override
         public void content(ByteBuf part) {
             if (!isOpen() || headOnly || !part.isReadable()) {
@@ -371,8 +397,12 @@
             exchange = null;
             stage = Stage.CLOSING;
             ChannelHandlerContext closing = context;
-            written.addListener(
-                    done -> closing.executor().schedule(() -> closing.close(), LINGER_MS, TimeUnit.MILLISECONDS));
+            written.addListener(done -> {
+                if (done.isSuccess()) {
+                    closing.channel().config().setOption(ChannelOption.SO_LINGER, NO_RESET_ON_CLOSE);
+                }
+                closing.executor().schedule(() -> closing.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+            });
         }
 
         @Override
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/CallerFramingTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/CallerFramingTest.java
@@ -1,19 +1,28 @@
 package org.bamboohatch.gateway.forward;
 
+import java.net.Socket;
+import java.net.SocketException;
+
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 import static org.bamboohatch.gateway.forward.FakeTarget.answer;
+import static org.bamboohatch.gateway.forward.FakeTarget.chunk;
+import static org.bamboohatch.gateway.forward.FakeTarget.streamHead;
 import static org.bamboohatch.gateway.forward.FakeTarget.write;
+import static org.bamboohatch.gateway.forward.GatewayHarness.readAll;
 import static org.bamboohatch.gateway.forward.GatewayHarness.request;
 
 /** Where responses end for callers, on connections that remain open and on those that don't. */
 @Timeout(60)
 class CallerFramingTest {
 
+    private static final String EVENT = "id: 1\ndata: a\n\n";
+
     private static final String END_OF_HEAD = "\r\n\r\n";
 
     private static String keptRequest(String method, String path, String id, String body) {
@@ -95,4 +104,96 @@
             assertThat(seen.contains("ontent-length: 4")).isEqualTo(response.contains("Content-Length: 4"));
         }
     }
+
+    private static String http10(String request, String connection) {
+        return request.replace(" HTTP/1.1\r\n", " HTTP/1.0\r\n").replace(": close", ": " + connection);
+    }
+
+    /** Guards against chunks that reach callers of HTTP/1.0 as parts of the body, and against connections kept silently. */
+    @ParameterizedTest
+    @ValueSource(strings = {"close", "keep-alive"})
+    void aStreamForHttp10EndsWithItsConnection(String connection) throws Exception {
+        FakeTarget.Script script = (received, socket) -> {
+            write(socket, streamHead(received.id(), "s") + chunk(EVENT) + "0\r\n\r\n");
+            return true;
+        };
+        try (FakeTarget target = new FakeTarget(script);
+                GatewayHarness gateway = new GatewayHarness(target)) {
+            assertThat(gateway.call(http10(request("POST", "/stream/x", "a1", "", "prompt"), connection)))
+                    .doesNotContainIgnoringCase("Transfer-Encoding")
+                    .containsIgnoringCase("Connection: close")
+                    .endsWith(END_OF_HEAD + EVENT);
+        }
+    }
+
+    /** Guards against broken off streams that callers of HTTP/1.0 take for complete. */
+    @Test
+    void aBrokenOffStreamForHttp10IsReset() throws Exception {
+        FakeTarget.Script script = (received, socket) -> {
+            write(socket, streamHead(received.id(), "s") + chunk(EVENT));
+            return false;
+        };
+        try (FakeTarget target = new FakeTarget(script);
+                GatewayHarness gateway = new GatewayHarness(target)) {
+            String request = http10(request("POST", "/stream/x", "a1", "", "prompt"), "close");
+            assertThatThrownBy(() -> gateway.call(request)).isInstanceOf(SocketException.class);
+        }
+    }
+
+    /** Guards against responses that look complete when they are broken off while the caller has not read them. */
+    @ParameterizedTest
+    @ValueSource(strings = {"chunks", "length", "connection end"})
+    void aResponseThatIsBrokenOffBeforeItIsReadIsNotWhole(String framing) throws Exception {
+        String length = "HTTP/1.1 200 OK\r\nRequest-Id: a1\r\nAnswer-Seal: s\r\nContent-Length: 1000000000\r\n\r\n";
+        FakeTarget.Script endless = (received, socket) -> {
+            write(socket, framing.equals("length") ? length : streamHead("a1", "s"));
+            for (int number = 1; ; number++) {
+                String event = "id: " + number + "\ndata: " + "x".repeat(65_536) + "\n\n";
+                write(socket, framing.equals("length") ? event : chunk(event));
+            }
+        };
+        String path = framing.equals("length") ? "/order/x" : "/stream/x";
+        String request = request("POST", path, "a1", "Request-Timeout-Ms: 600\r\n", "prompt");
+        try (FakeTarget target = new FakeTarget(endless);
+                GatewayHarness gateway = new GatewayHarness(target);
+                Socket caller = gateway.connect()) {
+            write(caller, framing.equals("connection end") ? http10(request, "close") : request);
+            target.callerGone.await();
+            if (framing.equals("connection end")) {
+                assertThatThrownBy(() -> readAll(caller.getInputStream())).isInstanceOf(SocketException.class);
+            } else {
+                String seen = readAll(caller.getInputStream());
+                assertThat(seen.startsWith("HTTP/1.1 200")).isTrue();
+                assertThat(seen.endsWith("\r\n0\r\n\r\n")).isFalse();
+                assertThat(seen.length()).isLessThan(1_000_000_000);
+            }
+        }
+    }
+
+    /** Guards against responses out of order, and against one behind a response that is broken off or refused. */
+    @Test
+    void pipelinedRequestsAreAnsweredInOrderUntilOneIsBrokenOff() throws Exception {
+        FakeTarget.Script script = (received, socket) -> {
+            boolean broken = received.line().contains("/stream/");
+            write(
+                    socket,
+                    broken ? streamHead(received.id(), "s") + chunk(EVENT) : answer(received.id(), received.id()));
+            return !broken;
+        };
+        String last = request("POST", "/order/x", "last", "", "crates");
+        try (FakeTarget target = new FakeTarget(script);
+                GatewayHarness gateway = new GatewayHarness(target)) {
+            String first = keptRequest("POST", "/order/x", "first", "crates") + keptRequest("GET", "/none/x", "a2", "");
+            String seen = gateway.call(first + keptRequest("POST", "/order/x", "third", "crates") + last);
+            assertThat(seen).containsSubsequence("200", "first", "404", "200", "third", "200", "last");
+            seen = gateway.call(first + keptRequest("POST", "/order/x", "a2", "x".repeat(20_001)) + last);
+            assertThat(seen).containsSubsequence("200", "first", "404", "413").doesNotContain("last");
+            seen = gateway.call(first + keptRequest("POST", "/stream/x", "a2", "prompt") + last);
+            assertThat(seen)
+                    .containsSubsequence("200", "first", "404", "200", EVENT)
+                    .doesNotContain("last");
+            assertThat(target.received.stream().filter(received -> received.id().equals("last")))
+                    .hasSize(1);
+        }
+    }
 }
