Handle pipelined requests in a loop instead of by recursion

A caller that pipelines many requests behind one that a target is working on, and whose requests are refused at once, got no further byte, on a connection that remained open: the stack of the event loop overflowed.

Cause: the end of a response took the next queued request, whose refusal ended its response and took the next one, nine frames deeper. The number of queued messages bounds what is read further, but one read of 64 KiB holds thousands of short requests. The error left the connection in the state of a response in progress, and nothing closed it.

Now a response that ends while queued messages are handled leaves the next one to the loop that handles them.

Before, manyPipelinedRefusals failed with "SocketTimeoutException: Read timed out" after 8 s without a byte.

--- a/gateway/src/main/java/org/bamboohatch/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/http/CallerConnection.java
@@ -65,6 +65,9 @@
     /** Messages that arrived while a request was in progress. */
     private final Queue<Object> pipelined = new ArrayDeque<>();
 
+    /** Whether queued messages are being handled, each of which may complete a response before the next one is taken. */
+    private boolean handlingPipelined;
+
     private Stage stage = Stage.IDLE;
 
     private ChannelHandlerContext context;
@@ -259,6 +262,17 @@
         exchange = null;
         stage = Stage.IDLE;
         waitingSince = GatewayClock.now();
+        if (!handlingPipelined) {
+            handlingPipelined = true;
+            try {
+                handlePipelined();
+            } finally {
+                handlingPipelined = false;
+            }
+        }
+    }
+
+    private void handlePipelined() {
         while (stage != Stage.RESPONSE && stage != Stage.CLOSING && !pipelined.isEmpty()) {
             handleMessage(pipelined.poll());
         }
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/CallerFramingTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/CallerFramingTest.java
@@ -196,4 +196,24 @@
                     .hasSize(1);
         }
     }
+
+    /** Guards against a stack overflow by many pipelined requests that are refused. */
+    @Test
+    void manyPipelinedRefusals() throws Exception {
+        int count = 3_000;
+        FakeTarget.Script script = (received, socket) -> {
+            Thread.sleep(300);
+            write(socket, answer(received.id(), received.id()));
+            return true;
+        };
+        try (FakeTarget target = new FakeTarget(script);
+                GatewayHarness gateway = new GatewayHarness(target)) {
+            String seen = gateway.call(
+                    keptRequest("POST", "/order/x", "first", "x".repeat(20_000)).repeat(4)
+                            + "GET / HTTP/1.1\r\n\r\n".repeat(count)
+                            + request("POST", "/order/x", "last", "", "crates"));
+            assertThat(seen.split("HTTP/1.1 400", -1)).hasSize(count + 1);
+            assertThat(seen).endsWith("last");
+        }
+    }
 }
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
@@ -53,6 +54,9 @@
 
     static final CallerLimits LIMITS = new CallerLimits(4_096, 20_000, 400, 3_000);
 
+    /** Size of the stack of the event loop, small as where memory is scarce. */
+    private static final long STACK_BYTES = 512 * 1024;
+
     private static final ServiceName SERVICE = new ServiceName("portal");
 
     private static final ServiceName ENGINES = new ServiceName("engines");
@@ -90,7 +94,8 @@
             port = free.getLocalPort();
             exchangeAddress = "127.0.0.1:" + freeForDatagrams.getLocalPort();
         }
-        loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        ThreadFactory threads = task -> new Thread(null, task, "callers", STACK_BYTES);
+        loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, threads, NioIoHandler.newFactory()).next();
         GatewaySettings settings = new GatewaySettings(
                 new HostName("gateway-1"),
                 new ZoneName("zone-a"),
