Test that a body is only asked for if it is allowed

Nothing showed: a request that expects 100 Continue gets it before its body is read, and a 413 at once in its place if the declared length is over the bound. The field is not forwarded. No test covered this before.

--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/CallerFramingTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/CallerFramingTest.java
@@ -216,4 +216,22 @@
             assertThat(seen).endsWith("last");
         }
     }
+
+    /** Guards against a body that is asked for although it will be refused. */
+    @Test
+    void anExpectedBodyIsOnlyAskedForIfItIsAllowed() throws Exception {
+        try (FakeTarget target = new FakeTarget((received, socket) -> {
+                    write(socket, answer(received.id(), "full"));
+                    return true;
+                });
+                GatewayHarness gateway = new GatewayHarness(target)) {
+            String expecting = "Expect: 100-continue\r\n";
+            assertThat(gateway.call(request("POST", "/order/x", "a1", expecting, "crates")))
+                    .startsWith("HTTP/1.1 100 Continue" + END_OF_HEAD + "HTTP/1.1 200")
+                    .endsWith("full");
+            assertThat(target.received.get(0).headers()).doesNotContainKey("expect");
+            assertThat(gateway.call(request("POST", "/order/x", "a2", expecting + "Content-Length: 20001\r\n", "")))
+                    .startsWith("HTTP/1.1 413");
+        }
+    }
 }
