--- a/gateway/src/main/java/org/bamboohatch/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/http/CallerConnection.java
@@ -14,6 +14,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -49,6 +50,12 @@
     /** Time for which input is still read before a connection is closed, so that the caller can read the response. */
     private static final long LINGER_MS = 300;
 
+    /** Value of {@code SO_LINGER} with which a connection is reset when it is closed. */
+    private static final int RESET_ON_CLOSE = 0;
+
+    /** Value of {@code SO_LINGER} with which unsent bytes are sent after the connection is closed. */
+    private static final int NO_RESET_ON_CLOSE = -1;
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
@@ -58,6 +65,9 @@
     /** Messages that arrived while a request was in progress. */
     private final Queue<Object> pipelined = new ArrayDeque<>();
 
+    /** Whether queued messages are being handled, each of which may complete a response before the next one is taken. */
+    private boolean handlingPipelined;
+
     private Stage stage = Stage.IDLE;
 
     private ChannelHandlerContext context;
@@ -221,8 +231,9 @@
         stage = Stage.RESPONSE;
         InboundRequest request =
                 new InboundRequest(head.method(), head.uri(), head.headers(), body.toByteArray(), headReceivedAt);
-        Exchange started =
-                new Exchange(HttpUtil.isKeepAlive(head), head.method().equals(HttpMethod.HEAD));
+        boolean chunksAllowed = head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
+        Exchange started = new Exchange(
+                chunksAllowed && HttpUtil.isKeepAlive(head), head.method().equals(HttpMethod.HEAD), chunksAllowed);
         exchange = started;
         head = null;
         body = null;
@@ -241,9 +252,10 @@
     }
 
     private void refuseAndClose(Refusal refusal) {
+        boolean headOnly = head != null && head.method().equals(HttpMethod.HEAD);
         head = null;
         body = null;
-        exchange = new Exchange(false, false);
+        exchange = new Exchange(false, headOnly, false);
         stage = Stage.RESPONSE;
         server.logRejection(refusal.code());
         exchange.refuse(refusal);
@@ -254,6 +266,17 @@
         exchange = null;
         stage = Stage.IDLE;
         waitingSince = GatewayClock.now();
+        if (!handlingPipelined) {
+            handlingPipelined = true;
+            try {
+                handlePipelined();
+            } finally {
+                handlingPipelined = false;
+            }
+        }
+    }
+
+    private void handlePipelined() {
         while (stage != Stage.RESPONSE && stage != Stage.CLOSING && !pipelined.isEmpty()) {
             handleMessage(pipelined.poll());
         }
@@ -309,20 +332,24 @@
     /** A request and its response. */
     private final class Exchange implements Responder {
 
-        /** Whether the caller asked to keep the connection open. */
+        /** Whether the connection remains open for further requests; never with HTTP/1.0, where callers may not expect it. */
         private final boolean keepAlive;
 
         /** Whether the response has no body even if its head declares one, as for a HEAD request. */
         private final boolean headOnly;
 
+        /** Whether the caller understands chunks; otherwise a body without a length ends with the connection. */
+        private final boolean chunksAllowed;
+
         private CallerRequestHandler.Listener listener = NoOpListener.INSTANCE;
 
         /** Whether the connection is closed after the response. */
         private boolean closes;
 
-        Exchange(boolean keepAlive, boolean headOnly) {
+        Exchange(boolean keepAlive, boolean headOnly, boolean chunksAllowed) {
             this.keepAlive = keepAlive;
             this.headOnly = headOnly;
+            this.chunksAllowed = chunksAllowed;
         }
 
         /**
@@ -343,8 +370,8 @@
             closes = !keepAlive || server.isStopping();
             if (length >= 0) {
                 HttpUtil.setContentLength(response, length);
-            } else {
-                HttpUtil.setTransferEncodingChunked(response, true);
+            } else if (!headOnly && !status.equals(HttpResponseStatus.NOT_MODIFIED)) {
+                beginUnknownLength(response);
             }
             if (closes) {
                 headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -353,6 +380,20 @@
             context.flush();
         }
 
+        /**
+         * Lets the response show where its body ends. If that is the end of the connection, any end before the response is
+         * complete resets the connection, so that the caller detects it.
+         *
+         * @param response head of the response
+         */
+        private void beginUnknownLength(HttpResponse response) {
+            if (chunksAllowed) {
+                HttpUtil.setTransferEncodingChunked(response, true);
+            } else {
+                context.channel().config().setOption(ChannelOption.SO_LINGER, RESET_ON_CLOSE);
+            }
+        }
+
         @Override
         public void content(ByteBuf part) {
             if (!isOpen() || headOnly || !part.isReadable()) {
@@ -385,8 +426,12 @@
             exchange = null;
             stage = Stage.CLOSING;
             ChannelHandlerContext closing = context;
-            written.addListener(
-                    done -> closing.executor().schedule(() -> closing.close(), LINGER_MS, TimeUnit.MILLISECONDS));
+            written.addListener(done -> {
+                if (done.isSuccess()) {
+                    closing.channel().config().setOption(ChannelOption.SO_LINGER, NO_RESET_ON_CLOSE);
+                }
+                closing.executor().schedule(() -> closing.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+            });
         }
 
         @Override
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
@@ -11,9 +11,11 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
@@ -52,6 +54,9 @@
 
     static final CallerLimits LIMITS = new CallerLimits(4_096, 20_000, 400, 3_000);
 
+    /** Size of the stack of the event loop, small as where memory is scarce. */
+    private static final long STACK_BYTES = 512 * 1024;
+
     private static final ServiceName SERVICE = new ServiceName("portal");
 
     private static final ServiceName ENGINES = new ServiceName("engines");
@@ -89,7 +94,8 @@
             port = free.getLocalPort();
             exchangeAddress = "127.0.0.1:" + freeForDatagrams.getLocalPort();
         }
-        loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        ThreadFactory threads = task -> new Thread(null, task, "callers", STACK_BYTES);
+        loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, threads, NioIoHandler.newFactory()).next();
         GatewaySettings settings = new GatewaySettings(
                 new HostName("gateway-1"),
                 new ZoneName("zone-a"),
@@ -239,6 +245,21 @@
         return new String(stream.readAllBytes(), StandardCharsets.UTF_8);
     }
 
+    /** Reads one response with a length, as is possible on a connection that remains open. */
+    static String readResponse(InputStream stream) throws IOException {
+        StringBuilder response = new StringBuilder();
+        int length = 0;
+        String line;
+        do {
+            line = FakeTarget.readLine(stream);
+            response.append(line).append("\r\n");
+            if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
+                length = Integer.parseInt(line.substring(line.indexOf(':') + 1).strip());
+            }
+        } while (!line.isEmpty());
+        return response + new String(stream.readNBytes(length), StandardCharsets.UTF_8);
+    }
+
     static String request(String method, String path, String id, String moreHeaders, String body) {
         String length = body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n";
         return method + " " + path + " HTTP/1.1\r\nHost: beads.example\r\nRequest-Id: " + id
