Bound the memory that incomplete responses hold together

Another operator reported that a faulty engine sent bytes without end, that the machine which had called it kept them all, and that the requests of other clients ended with it. Callers of sound targets would see the same here: each response is bounded (1 MiB of body, 1 MiB of an event, 256 KiB unsent), but a hundred of them are more than the heap.

Cause: bounds for single responses only, and a buffer of events that kept its size after a large event.

BufferBudget bounds what all responses hold, to a quarter of the heap. A response may hold an eighth of what is free, so the ones that hold most yield first, and small ones find room until the buffers are nearly full: an incomplete event that is larger ends its attempt, a buffered body is forwarded instead, and a target whose caller does not read is not read either until the caller has read everything. The size of a buffer counts with the memory that is not used yet. The gauge gateway.buffered.responses shows the sum.

--- a/gateway/src/main/java/org/bamboohatch/gateway/GatewayModule.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/GatewayModule.java
@@ -11,6 +11,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import org.bamboohatch.gateway.buffer.GatewayBuffers;
 import org.bamboohatch.gateway.configuration.FleetStore;
 import org.bamboohatch.gateway.forward.Forwarder;
 import org.bamboohatch.gateway.load.ExchangedState;
@@ -71,8 +72,15 @@
             EventLoop loop,
             FleetStore store,
             ExchangedState state,
+            GatewayBuffers buffers,
             GatewayMetrics metrics) {
-        return new Forwarder(settings, dialect, loop, store, state, metrics);
+        return new Forwarder(settings, dialect, loop, store, state, buffers, metrics);
+    }
+
+    @Provides
+    @Singleton
+    static GatewayBuffers gatewayBuffers() {
+        return GatewayBuffers.ofHeap(Runtime.getRuntime().maxMemory());
     }
 
     @Provides
--- a/gateway/src/main/java/org/bamboohatch/gateway/GatewayProgram.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/GatewayProgram.java
@@ -10,6 +10,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.bamboohatch.document.fleet.CallerLimits;
+import org.bamboohatch.gateway.buffer.GatewayBuffers;
 import org.bamboohatch.gateway.configuration.FleetStore;
 import org.bamboohatch.gateway.configuration.FleetView;
 import org.bamboohatch.gateway.configuration.RouteTable;
@@ -68,6 +69,7 @@
      * @param loop the event loop that serves all callers
      * @param store this gateway's copy of the configuration and the membership
      * @param forwarder handles the requests of callers
+     * @param buffers memory of the requests and responses
      * @param exchange exchanges load reports with other gateways
      * @param registry registry whose metrics the readiness server exposes
      * @param metrics counters, gauges and histograms of this gateway
@@ -79,6 +81,7 @@
             EventLoop loop,
             FleetStore store,
             Forwarder forwarder,
+            GatewayBuffers buffers,
             LoadExchange exchange,
             PrometheusMeterRegistry registry,
             GatewayMetrics metrics) {
@@ -88,8 +91,12 @@
         this.store = store;
         this.forwarder = forwarder;
         this.exchange = exchange;
-        this.callers = new CallerServer(Network.parse(settings.listen()), loop, forwarder, this::callerLimits);
+        this.callers = new CallerServer(Network.parse(settings.listen()), loop, forwarder, this::callerLimits, buffers);
         this.readiness = new ReadinessServer(Network.parse(settings.readiness()), loop, this::isReady, registry);
+        metrics.registerGauge(
+                "gateway.buffered.responses",
+                "bytes of responses that are incomplete or that callers have not read",
+                buffers.responses()::heldBytes);
         metrics.registerGauge("gateway.open", "requests under way", forwarder::openRequests);
         metrics.registerGauge(
                 "gateway.configuration.age",
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/EventFramer.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/EventFramer.java
@@ -20,6 +20,9 @@
 
     private static final byte LINE_FEED = '\n';
 
+    /** Unused memory of the buffer above which it is given back, in bytes. */
+    private static final int MAX_SPARE_BYTES = 64 * 1024;
+
     /** Bytes of the incomplete event. */
     private final ByteBuf partialEvent = Unpooled.buffer(0);
 
@@ -75,6 +78,9 @@
         byte[] complete = new byte[completeBytes];
         partialEvent.readBytes(complete);
         partialEvent.discardReadBytes();
+        if (completeBytes > 0) {
+            trim();
+        }
         lineStart -= completeBytes;
         return complete;
     }
@@ -154,12 +160,20 @@
     /** Discards the incomplete event; a target that resumes the stream sends it from its beginning. */
     void discardPartialEvent() {
         partialEvent.clear();
+        trim();
         lineStart = 0;
         pendingId = null;
         pendingField = false;
         outOfOrder = false;
     }
 
+    /** Gives back the memory of a large event. */
+    private void trim() {
+        if (partialEvent.capacity() - partialEvent.writerIndex() > MAX_SPARE_BYTES) {
+            partialEvent.capacity(partialEvent.writerIndex());
+        }
+    }
+
     /**
      * Indicates whether the target sent an event that does not follow the one before it. Nothing after that one is used.
      *
@@ -186,6 +200,15 @@
         return partialEvent.readableBytes();
     }
 
+    /**
+     * Returns the size of the buffer of the incomplete event.
+     *
+     * @return the size in bytes, including memory that is not used yet
+     */
+    int bufferBytes() {
+        return partialEvent.capacity();
+    }
+
     Optional<String> lastEventId() {
         return Optional.ofNullable(lastEventId);
     }
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardedRequest.java
@@ -131,7 +131,7 @@
             return;
         }
         AttemptResources resources = chosen.get();
-        ForwardingAttempt attempt = new ForwardingAttempt(this, resources, now);
+        ForwardingAttempt attempt = new ForwardingAttempt(this, resources, forwarder.openResponseBuffer(), now);
         current = attempt;
         log.placed(attempt, history.sends() + 1, admitted.deadline() - now);
         resources.memory().acquire(engineWithoutMemory -> onMemoryReserved(attempt, engineWithoutMemory));
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
@@ -11,6 +11,8 @@
 import org.bamboohatch.gateway.GatewayClock;
 import org.bamboohatch.gateway.GatewayMetrics;
 import org.bamboohatch.gateway.GatewaySettings;
+import org.bamboohatch.gateway.buffer.BufferBudget;
+import org.bamboohatch.gateway.buffer.GatewayBuffers;
 import org.bamboohatch.gateway.configuration.FleetView;
 import org.bamboohatch.gateway.configuration.FleetViewSource;
 import org.bamboohatch.gateway.forward.AdmissionResult.Admitted;
@@ -60,6 +62,8 @@
 
     private final DecisionLog log = new DecisionLog("request");
 
+    private final GatewayBuffers buffers;
+
     private final GatewayMetrics metrics;
 
     private boolean admitting = true;
@@ -75,6 +79,7 @@
      * @param loop the event loop that serves all callers
      * @param configuration this gateway's copy of the configuration and the membership
      * @param state state of the targets that gateways exchange
+     * @param buffers memory of the requests and responses
      * @param metrics counters and histograms of this gateway
      */
     public Forwarder(
@@ -83,7 +88,9 @@
             EventLoop loop,
             FleetViewSource configuration,
             ExchangedState state,
+            GatewayBuffers buffers,
             GatewayMetrics metrics) {
+        this.buffers = buffers;
         this.metrics = metrics;
         this.quarantine = state.quarantine();
         this.settings = settings;
@@ -276,6 +283,10 @@
         return dialect;
     }
 
+    BufferBudget.Holder openResponseBuffer() {
+        return buffers.responses().open();
+    }
+
     EventLoop loop() {
         return loop;
     }
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardingAttempt.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardingAttempt.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.concurrent.Future;
 import org.bamboohatch.gateway.GatewayClock;
+import org.bamboohatch.gateway.buffer.BufferBudget;
 import org.bamboohatch.gateway.target.BodyFraming;
 import org.bamboohatch.gateway.target.HttpTargetConnection;
 import org.bamboohatch.gateway.target.LossCause;
@@ -54,7 +55,10 @@
     private HttpResponse response;
 
     /** Body of a response that is not forwarded before it is complete. */
-    private final ByteBuf buffer = Unpooled.buffer(0);
+    private ByteBuf buffer = Unpooled.buffer(0);
+
+    /** Memory of the buffered body, or of the incomplete event. */
+    private final BufferBudget.Holder held;
 
     private Mode mode = Mode.AWAITING_HEAD;
 
@@ -97,11 +101,13 @@
      *
      * @param forwarded the request that is forwarded
      * @param resources the targets and what the attempt occupies there; released when the attempt ends
+     * @param held accounts for the memory of the response; released when the attempt ends
      * @param now current time, in milliseconds
      */
-    ForwardingAttempt(ForwardedRequest forwarded, AttemptResources resources, long now) {
+    ForwardingAttempt(ForwardedRequest forwarded, AttemptResources resources, BufferBudget.Holder held, long now) {
         this.forwarded = forwarded;
         this.resources = resources;
+        this.held = held;
         this.startedAt = now;
         this.eventsBefore = forwarded.framer().eventCount();
         this.lastActivityAt = now;
@@ -191,6 +197,7 @@
         mode = Mode.ENDED;
         resources.release();
         buffer.release();
+        held.release();
         if (idleCheck != null) {
             idleCheck.cancel(false);
         }
@@ -265,6 +272,7 @@
         long now = GatewayClock.now();
         long progressBefore = forwarded.framer().progress();
         byte[] events = forwarded.framer().append(part, now);
+        held.set(forwarded.framer().bufferBytes());
         forwarded.monitor().recordActivity(target(), now);
         if (forwarded.framer().progress() > progressBefore) {
             lastActivityAt = now;
@@ -283,6 +291,9 @@
                     + forwarded.framer().lastEventId().orElse(""));
         } else if (forwarded.framer().partialEventBytes() > MAX_EVENT_BYTES) {
             rejectResponse("event of more than " + MAX_EVENT_BYTES + " bytes");
+        } else if (held.exceedsShare()) {
+            rejectResponse(
+                    "event of more than " + forwarded.framer().partialEventBytes() + " bytes while buffers are full");
         }
     }
 
@@ -304,13 +315,26 @@
     private void bufferPart(ByteBuf part) {
         lastActivityAt = GatewayClock.now();
         buffer.writeBytes(part);
-        if (buffer.readableBytes() > MAX_BUFFERED_BYTES) {
+        held.set(buffer.capacity());
+        if (buffer.readableBytes() > MAX_BUFFERED_BYTES || held.exceedsShare()) {
             mode = Mode.FORWARD;
             forwarded.beginResponse(this, response, contentLength());
-            forward(buffer.retainedDuplicate());
+            forward(takeBuffer());
         }
     }
 
+    /**
+     * Hands over the buffered body. The responder accounts for its memory from then on.
+     *
+     * @return the body, to be released by the receiver
+     */
+    private ByteBuf takeBuffer() {
+        ByteBuf body = buffer;
+        buffer = Unpooled.EMPTY_BUFFER;
+        held.release();
+        return body;
+    }
+
     /**
      * Returns the content length that the head of the response declares.
      *
@@ -349,7 +373,7 @@
             boolean stream = modeAtEnd == Mode.EVENTS;
             forwarded.beginResponse(this, response, stream ? -1 : buffer.readableBytes());
             if (!stream) {
-                forwarded.responder().content(buffer.retainedDuplicate());
+                forwarded.responder().content(takeBuffer());
             }
         }
         end();
--- a/gateway/src/main/java/org/bamboohatch/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/http/CallerConnection.java
@@ -34,6 +34,7 @@
 import io.netty.util.ReferenceCountUtil;
 import org.bamboohatch.document.fleet.CallerLimits;
 import org.bamboohatch.gateway.GatewayClock;
+import org.bamboohatch.gateway.buffer.BufferBudget;
 import org.bamboohatch.kernel.outcome.ErrorCode;
 import org.bamboohatch.kernel.outcome.Refusal;
 
@@ -58,6 +59,9 @@
     /** Messages that arrived while a request was in progress. */
     private final Queue<Object> pipelined = new ArrayDeque<>();
 
+    /** Parts of responses that the caller has not read yet. */
+    private final BufferBudget.Holder unsent;
+
     private Stage stage = Stage.IDLE;
 
     private ChannelHandlerContext context;
@@ -93,6 +97,7 @@
 
     CallerConnection(CallerServer server) {
         this.server = server;
+        this.unsent = server.buffers().responses().open();
         this.waitingSince = GatewayClock.now();
     }
 
@@ -141,7 +146,7 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext changed) {
-        if (exchange != null && changed.channel().isWritable()) {
+        if (exchange != null && exchange.isWritable()) {
             exchange.listener.onWritable();
         }
     }
@@ -245,6 +250,18 @@
         exchange.refuse(Refusal.notRun(code, message));
     }
 
+    /**
+     * Updates the size of the unsent parts.
+     *
+     * @param bytes size of a part that was sent, or dropped with the connection
+     */
+    private void onSent(int bytes) {
+        unsent.add(-bytes);
+        if (unsent.isEmpty() && exchange != null) {
+            exchange.listener.onWritable();
+        }
+    }
+
     /** Continues with the queued messages after a response, and resumes reading if none is left. */
     private void beginNextRequest() {
         exchange = null;
@@ -344,7 +361,9 @@
                 part.release();
                 return;
             }
-            context.writeAndFlush(new DefaultHttpContent(part));
+            int bytes = part.readableBytes();
+            unsent.add(bytes);
+            context.writeAndFlush(new DefaultHttpContent(part)).addListener(done -> onSent(bytes));
         }
 
         @Override
@@ -415,7 +434,7 @@
 
         @Override
         public boolean isWritable() {
-            return context.channel().isWritable();
+            return context.channel().isWritable() && !unsent.exceedsShare();
         }
 
         @Override
--- a/gateway/src/main/java/org/bamboohatch/gateway/http/CallerServer.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/http/CallerServer.java
@@ -20,6 +20,7 @@
 import org.apache.logging.log4j.Logger;
 import org.bamboohatch.document.fleet.CallerLimits;
 import org.bamboohatch.gateway.GatewayClock;
+import org.bamboohatch.gateway.buffer.GatewayBuffers;
 import org.bamboohatch.kernel.outcome.ErrorCode;
 import org.bamboohatch.kernel.service.Service;
 
@@ -55,6 +56,8 @@
     /** Returns the current limits, which change with the configuration. */
     private final Supplier<CallerLimits> limits;
 
+    private final GatewayBuffers buffers;
+
     /** The open connections; confined to the callers' event loop. */
     private final Set<CallerConnection> connections = new HashSet<>();
 
@@ -70,9 +73,15 @@
      * @param loop the event loop that serves all callers
      * @param handler handles the requests on the event loop
      * @param limits returns the current limits of callers
+     * @param buffers memory of the requests and responses
      */
     public CallerServer(
-            InetSocketAddress address, EventLoop loop, CallerRequestHandler handler, Supplier<CallerLimits> limits) {
+            InetSocketAddress address,
+            EventLoop loop,
+            CallerRequestHandler handler,
+            Supplier<CallerLimits> limits,
+            GatewayBuffers buffers) {
+        this.buffers = buffers;
         this.address = address;
         this.loop = loop;
         this.handler = handler;
@@ -141,6 +150,10 @@
         return stopping;
     }
 
+    GatewayBuffers buffers() {
+        return buffers;
+    }
+
     CallerLimits limits() {
         return limits.get();
     }
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -34,6 +35,7 @@
 import org.bamboohatch.gateway.GatewayClock;
 import org.bamboohatch.gateway.GatewayMetrics;
 import org.bamboohatch.gateway.GatewaySettings;
+import org.bamboohatch.gateway.buffer.GatewayBuffers;
 import org.bamboohatch.gateway.configuration.FleetView;
 import org.bamboohatch.gateway.configuration.FleetViewSource;
 import org.bamboohatch.gateway.configuration.RouteTable;
@@ -84,6 +86,10 @@
     private volatile FleetView view = FleetView.EMPTY;
 
     GatewayHarness(FakeTarget... targets) throws Exception {
+        this(GatewayBuffers.ofHeap(1L << 30), targets);
+    }
+
+    GatewayHarness(GatewayBuffers buffers, FakeTarget... targets) throws Exception {
         try (ServerSocket free = new ServerSocket(0);
                 DatagramSocket freeForDatagrams = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
             port = free.getLocalPort();
@@ -105,10 +111,10 @@
                 60_000,
                 1_000);
         ExchangedState state = ExchangedState.empty(settings);
-        forwarder = new Forwarder(settings, Dialect.DEFAULT, loop, this, state, new GatewayMetrics(registry));
+        forwarder = new Forwarder(settings, Dialect.DEFAULT, loop, this, state, buffers, new GatewayMetrics(registry));
         exchange = new LoadExchange(settings, state, loop);
         exchange.start();
-        callers = new CallerServer(new InetSocketAddress("127.0.0.1", port), loop, forwarder, () -> LIMITS);
+        callers = new CallerServer(new InetSocketAddress("127.0.0.1", port), loop, forwarder, () -> LIMITS, buffers);
         callers.start();
         if (targets.length > 0) {
             apply(targets);
@@ -207,6 +213,11 @@
         begun.await();
     }
 
+    /** Returns a value that is confined to the event loop. */
+    <V> V onLoop(Callable<V> value) throws Exception {
+        return loop.submit(value).get();
+    }
+
     @Override
     public FleetView view() {
         long stallMillis = loop != null && loop.inEventLoop() ? nextStallMillis.getAndSet(0) : 0;
