Count the heads of responses as what they take up in memory

A head may have 64 KiB, as short fields 15,000 of them, which take up two megabytes once they are decoded.

Cause: the limit is on the bytes on the wire, and was on each connection only. Ruled out: bytes without end, as EndlessResponseTest shows that the codec ends a head of more than 64 KiB, and interim or late responses, which are dropped once they are decoded.

A head that is larger than its share ends the attempt, as does any other malformed response.

ManyEndlessResponsesTest.headsWithManyFields... fails without the decision (HeadMemory.exceedsShare returning false) for complete and incomplete heads: callers get 504 at their deadline, and the heads are kept until then.

HttpTargetConnectionTest and RepeatedCommandResponseTest pass a budget to the pool; nothing else in them changes.

--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
@@ -99,7 +99,8 @@
         this.configuration = configuration;
         this.requestAdmission = new RequestAdmission(dialect, settings.freshnessMillis());
         this.targets = new TargetCatalog(settings.host(), settings.zone(), state);
-        this.pool = new TargetConnectionPool(loop, dialect.requestId(), new TargetNotices(dialect, targets, log));
+        this.pool = new TargetConnectionPool(
+                loop, dialect.requestId(), new TargetNotices(dialect, targets, log), buffers.responses());
         this.dispatcher = new AttemptDispatcher(settings, dialect, loop, targets, pool, state.loadTracker(), log);
     }
 
--- a/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
@@ -45,6 +45,8 @@
 
     private final TargetConnectionPool pool;
 
+    private final HeadMemory headMemory;
+
     private Channel channel;
 
     /** Receives the response to the request in progress, null if there is none. */
@@ -96,6 +98,7 @@
         this.address = address;
         this.requestIdField = requestIdField;
         this.pool = pool;
+        this.headMemory = new HeadMemory(pool.openResponseBuffer());
     }
 
     TargetAddress address() {
@@ -227,14 +230,23 @@
 
         @Override
         public void channelRead(ChannelHandlerContext reading, Object message) {
-            if (message instanceof ByteBuf bytes && !headReceived) {
-                unrelatedBytes += bytes.readableBytes();
-            }
+            int headBytes = message instanceof ByteBuf bytes && !headReceived ? bytes.readableBytes() : 0;
+            unrelatedBytes += headBytes;
             if (listener == null || unrelatedBytes > MAX_UNRELATED_BYTES) {
                 ReferenceCountUtil.release(message);
                 loseResponse(LossCause.UNRELATED_BYTES);
             } else {
                 reading.fireChannelRead(message);
+                accountForHead(headBytes);
+            }
+        }
+    }
+
+    private void accountForHead(int headBytes) {
+        if (!headReceived && listener != null) {
+            headMemory.recordRead(headBytes);
+            if (headMemory.exceedsShare()) {
+                loseResponse(LossCause.OVERSIZED_HEAD);
             }
         }
     }
@@ -267,9 +279,15 @@
         boolean answersRequest = !discarding && expectedId != null;
         pool.observe(address, response, answersRequest ? OptionalLong.of(sentAt) : OptionalLong.empty());
         if (discarding) {
+            headMemory.recordUnrelatedMessage();
             return;
         }
         headReceived = true;
+        headMemory.recordHead(response.headers());
+        if (headMemory.exceedsShare()) {
+            loseResponse(LossCause.OVERSIZED_HEAD);
+            return;
+        }
         reusable = BodyFraming.of(response).isExplicit() && HttpUtil.isKeepAlive(response);
         keepAliveMillis = parseKeepAliveMillis(response.headers());
         listener.onHead(response);
@@ -309,6 +327,7 @@
     private void handleContent(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
         if (discarding) {
+            headMemory.recordUnrelatedMessage();
             discarding = !last;
             return;
         }
@@ -333,6 +352,7 @@
         ResponseListener completed = listener;
         listener = null;
         unrelatedBytes = 0;
+        headMemory.release();
         channel.config().setAutoRead(true);
         if (reusable && requestWrite.isDone() && channel.isActive()) {
             idleSince = GatewayClock.now();
@@ -351,6 +371,7 @@
     private void loseResponse(LossCause cause) {
         ResponseListener lost = listener;
         listener = null;
+        headMemory.release();
         channel.close();
         if (lost != null) {
             lost.onLost(cause);
--- a/gateway/src/main/java/org/bamboohatch/gateway/target/LossCause.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/LossCause.java
@@ -11,7 +11,9 @@
     /** The response violates the protocol. */
     MALFORMED("malformed answer", false),
     /** The target sends bytes that belong to no response, without end. */
-    UNRELATED_BYTES("too many bytes that are no answer", false);
+    UNRELATED_BYTES("too many bytes that are no answer", false),
+    /** The head of the response does not fit into the buffers. */
+    OVERSIZED_HEAD("large head of an answer while buffers are full", false);
 
     private final String reason;
 
--- a/gateway/src/main/java/org/bamboohatch/gateway/target/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/TargetConnectionPool.java
@@ -23,6 +23,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.bamboohatch.gateway.buffer.BufferBudget;
 import org.bamboohatch.protocol.transport.Network;
 
 /** Pool of connections to targets; confined to the callers' event loop. */
@@ -54,6 +55,9 @@
     /** Receives the heads of all responses. */
     private final ResponseObserver observer;
 
+    /** Memory of all responses. */
+    private final BufferBudget responses;
+
     /** The idle connections by target, the most recently used first. */
     private final Map<TargetAddress, Deque<HttpTargetConnection>> idle = new HashMap<>();
 
@@ -63,8 +67,11 @@
      * @param loop the event loop that serves all callers
      * @param requestIdField name of the header field with the id of a request
      * @param observer receives the heads of all responses, also of those that belong to no request in progress
+     * @param responses memory of all responses
      */
-    public TargetConnectionPool(EventLoop loop, String requestIdField, ResponseObserver observer) {
+    public TargetConnectionPool(
+            EventLoop loop, String requestIdField, ResponseObserver observer, BufferBudget responses) {
+        this.responses = responses;
         this.loop = loop;
         this.requestIdField = requestIdField;
         this.observer = observer;
@@ -85,6 +92,10 @@
         void onHead(TargetAddress target, HttpResponse head, OptionalLong requestSentAt);
     }
 
+    BufferBudget.Holder openResponseBuffer() {
+        return responses.open();
+    }
+
     void observe(TargetAddress target, HttpResponse head, OptionalLong requestSentAt) {
         observer.onHead(target, head, requestSentAt);
     }
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/ManyEndlessResponsesTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/ManyEndlessResponsesTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.bamboohatch.gateway.forward.FakeTarget.answer;
@@ -35,6 +36,9 @@
     /** What each response may add to full buffers, because its size is checked after a read. */
     private static final int READ_BYTES = 64 * 1024;
 
+    /** Number of fields of a head. */
+    private static final int FIELDS = 12_000;
+
     private final BufferBudget responses = new BufferBudget(CAPACITY_BYTES, 0.125);
 
     /** Grants one permit for each response that its target has sent as far as it does, or that was closed. */
@@ -47,16 +51,14 @@
                 Arguments.of("body without an end", "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nAnswer-Seal: s\r\n\r\n"));
     }
 
-    private FakeTarget.Script incomplete(String head) {
+    private FakeTarget.Script incomplete(String head, String body) {
         return (received, connection) -> {
             if (received.id().equals("sound")) {
                 write(connection, answer("sound", "body"));
                 return true;
             }
             try {
-                write(
-                        connection,
-                        head.replace("Request-Id: a", "Request-Id: " + received.id()) + "x".repeat(PART_BYTES));
+                write(connection, head.replace("Request-Id: a", "Request-Id: " + received.id()) + body);
             } finally {
                 sent.release();
             }
@@ -68,7 +70,7 @@
     @ParameterizedTest(name = "{0}")
     @MethodSource("heads")
     void incompleteResponsesDoNotExceedTheBuffersAndOtherRequestsAreServed(String name, String head) throws Exception {
-        try (FakeTarget target = new FakeTarget(incomplete(head));
+        try (FakeTarget target = new FakeTarget(incomplete(head, "x".repeat(PART_BYTES)));
                 GatewayHarness gateway = new GatewayHarness(new GatewayBuffers(responses), target)) {
             List<Socket> callers = new ArrayList<>();
             for (int number = 0; number < REQUESTS; number++) {
@@ -86,6 +88,26 @@
         }
     }
 
+    @ParameterizedTest(name = "followed by: {0}")
+    @ValueSource(strings = {"", "Content-Length: 9\r\n\r\n"})
+    void headsWithManyFieldsDoNotExceedTheBuffersAndOtherRequestsAreServed(String end) throws Exception {
+        String head = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nAnswer-Seal: s\r\n" + "a:\r\n".repeat(FIELDS) + end;
+        try (FakeTarget target = new FakeTarget(incomplete(head, ""));
+                GatewayHarness gateway = new GatewayHarness(new GatewayBuffers(responses), target)) {
+            List<Socket> callers = new ArrayList<>();
+            for (int number = 0; number < REQUESTS; number++) {
+                callers.add(send(gateway, request("POST", "/order/x", "a" + number, "", "crates")));
+            }
+            sent.acquire(REQUESTS);
+            assertThat(gateway.call(request("GET", "/read/x", "sound", "", ""))).endsWith("body");
+            for (Socket caller : callers) {
+                assertThat(GatewayHarness.readAll(caller.getInputStream())).contains("large head of an answer");
+                caller.close();
+            }
+            awaitRelease(gateway);
+        }
+    }
+
     /** Everything is given back at the end of the requests. */
     private void awaitRelease(GatewayHarness gateway) throws Exception {
         while (gateway.onLoop(responses::heldBytes) > 0) {
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/RepeatedCommandResponseTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/RepeatedCommandResponseTest.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import org.bamboohatch.gateway.GatewayClock;
+import org.bamboohatch.gateway.buffer.BufferBudget;
 import org.bamboohatch.gateway.target.LossCause;
 import org.bamboohatch.gateway.target.ResponseListener;
 import org.bamboohatch.gateway.target.TargetAddress;
@@ -39,8 +40,8 @@
 
     private final EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
 
-    private final TargetConnectionPool pool =
-            new TargetConnectionPool(loop, "Request-Id", (target, head, requestSentAt) -> {});
+    private final TargetConnectionPool pool = new TargetConnectionPool(
+            loop, "Request-Id", (target, head, requestSentAt) -> {}, new BufferBudget(1 << 20, 1));
 
     @AfterEach
     void stop() {
--- a/gateway/src/test/java/org/bamboohatch/gateway/target/HttpTargetConnectionTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/target/HttpTargetConnectionTest.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.ReferenceCountUtil;
+import org.bamboohatch.gateway.buffer.BufferBudget;
 import org.bamboohatch.kernel.id.TargetName;
 import org.junit.jupiter.api.Test;
 
@@ -31,8 +32,8 @@
 
     private final TargetAddress address = new TargetAddress(new TargetName("target"), 1, "127.0.0.1:9");
 
-    private final TargetConnectionPool pool =
-            new TargetConnectionPool(null, "Request-Id", (target, head, requestSentAt) -> {});
+    private final TargetConnectionPool pool = new TargetConnectionPool(
+            null, "Request-Id", (target, head, requestSentAt) -> {}, new BufferBudget(1 << 20, 1));
 
     private final HttpTargetConnection connection = new HttpTargetConnection(address, "Request-Id", pool);
 
