Bound the memory that request bodies hold together

Callers that send bodies of 4 MiB at once, which is permitted, exhaust the heap of a gateway and with it the requests of other callers.

Cause: the limit of a body is on each request only, and a body is kept until the response has ended, because the request may have to be sent again.

A second budget bounds what all request bodies hold, to 0.3 of the heap. A body with a declared length takes up all of it when the head arrives, so that a request without room is refused at once, before its body is read; one in chunks takes up twice what has arrived. Either may hold half of what is free, so that small requests find room beside large ones. A request that is refused has not run, and may return after 500 ms. Letting callers wait for room instead was ruled out: bodies that are half received could wait for each other. The gauge gateway.buffered.requests shows the sum.

--- a/gateway/src/main/java/org/bamboohatch/gateway/GatewayProgram.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/GatewayProgram.java
@@ -93,6 +93,8 @@
         this.exchange = exchange;
         this.callers = new CallerServer(Network.parse(settings.listen()), loop, forwarder, this::callerLimits, buffers);
         this.readiness = new ReadinessServer(Network.parse(settings.readiness()), loop, this::isReady, registry);
+        metrics.registerGauge(
+                "gateway.buffered.requests", "bytes of request bodies in progress", buffers.requests()::heldBytes);
         metrics.registerGauge(
                 "gateway.buffered.responses",
                 "bytes of responses that are incomplete or that callers have not read",
--- a/gateway/src/main/java/org/bamboohatch/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/http/CallerConnection.java
@@ -1,8 +1,8 @@
 package org.bamboohatch.gateway.http;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
@@ -50,6 +50,9 @@
     /** Time for which input is still read before a connection is closed, so that the caller can read the response. */
     private static final long LINGER_MS = 300;
 
+    /** Retry delay for callers whose request does not fit into the buffers: the time of a typical response. */
+    private static final Duration FULL_BUFFERS_RETRY_DELAY = Duration.ofMillis(500);
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
@@ -69,8 +72,8 @@
     /** Head of the request that is being read, or null. */
     private HttpRequest head;
 
-    /** Received part of the body of the request that is being read. */
-    private ByteArrayOutputStream body;
+    /** Body of the request that is being read or in progress, or null. */
+    private RequestBody body;
 
     /** Time at which the complete head had arrived, in milliseconds. */
     private long headReceivedAt;
@@ -126,6 +129,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext inactive) {
         server.onClosed(this);
+        releaseBody();
         pipelined.forEach(ReferenceCountUtil::release);
         pipelined.clear();
         Exchange interrupted = exchange;
@@ -187,9 +191,12 @@
         head = request;
         headReceivedAt = GatewayClock.now();
         waitingSince = headReceivedAt;
-        body = new ByteArrayOutputStream();
-        if (HttpUtil.getContentLength(request, 0L) > server.limits().maximumBodyBytes()) {
+        long declaredBytes = HttpUtil.getContentLength(request, 0L);
+        body = new RequestBody(server.buffers().requests().open(), declaredBytes);
+        if (declaredBytes > server.limits().maximumBodyBytes()) {
             refuseAndClose(ErrorCode.TOO_LARGE, "The request body is over its bound.");
+        } else if (!body.fits()) {
+            refuseForFullBuffers();
         } else if (HttpUtil.is100ContinueExpected(request)) {
             context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
@@ -213,10 +220,10 @@
             refuseAndClose(ErrorCode.TOO_LARGE, "The request body is over its bound.");
             return;
         }
-        byte[] bytes = new byte[part.readableBytes()];
-        part.readBytes(bytes);
-        body.writeBytes(bytes);
-        if (content instanceof LastHttpContent) {
+        body.append(part);
+        if (!body.fits()) {
+            refuseForFullBuffers();
+        } else if (content instanceof LastHttpContent) {
             serve();
         }
     }
@@ -225,12 +232,11 @@
     private void serve() {
         stage = Stage.RESPONSE;
         InboundRequest request =
-                new InboundRequest(head.method(), head.uri(), head.headers(), body.toByteArray(), headReceivedAt);
+                new InboundRequest(head.method(), head.uri(), head.headers(), body.complete(), headReceivedAt);
         Exchange started =
                 new Exchange(HttpUtil.isKeepAlive(head), head.method().equals(HttpMethod.HEAD));
         exchange = started;
         head = null;
-        body = null;
         CallerRequestHandler.Listener listener = server.begin(request, started);
         started.listener = listener;
     }
@@ -242,12 +248,27 @@
      * @param message error message for the caller
      */
     private void refuseAndClose(ErrorCode code, String message) {
+        refuseAndClose(Refusal.notRun(code, message));
+    }
+
+    private void refuseForFullBuffers() {
+        refuseAndClose(Refusal.notRun(ErrorCode.OVERLOADED, "The gateway has no room for the request body.")
+                .withRetryAfter(FULL_BUFFERS_RETRY_DELAY));
+    }
+
+    private void refuseAndClose(Refusal refusal) {
         head = null;
-        body = null;
         exchange = new Exchange(false, false);
         stage = Stage.RESPONSE;
-        server.logRejection(code);
-        exchange.refuse(Refusal.notRun(code, message));
+        server.logRejection(refusal.code());
+        exchange.refuse(refusal);
+    }
+
+    private void releaseBody() {
+        if (body != null) {
+            body.release();
+            body = null;
+        }
     }
 
     /**
@@ -265,6 +286,7 @@
     /** Continues with the queued messages after a response, and resumes reading if none is left. */
     private void beginNextRequest() {
         exchange = null;
+        releaseBody();
         stage = Stage.IDLE;
         waitingSince = GatewayClock.now();
         while (stage != Stage.RESPONSE && stage != Stage.CLOSING && !pipelined.isEmpty()) {
@@ -387,6 +409,7 @@
          */
         private void closeAfterLinger(io.netty.channel.ChannelFuture written) {
             exchange = null;
+            releaseBody();
             stage = Stage.CLOSING;
             ChannelHandlerContext closing = context;
             written.addListener(
@@ -397,6 +420,7 @@
         public void abort() {
             if (isOpen()) {
                 exchange = null;
+                releaseBody();
                 stage = Stage.CLOSING;
                 context.flush();
                 context.close();
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/ManyEndlessResponsesTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/ManyEndlessResponsesTest.java
@@ -39,6 +39,8 @@
     /** Number of fields of a head. */
     private static final int FIELDS = 12_000;
 
+    private final BufferBudget requests = new BufferBudget(CAPACITY_BYTES, 1);
+
     private final BufferBudget responses = new BufferBudget(CAPACITY_BYTES, 0.125);
 
     /** Grants one permit for each response that its target has sent as far as it does, or that was closed. */
@@ -71,7 +73,7 @@
     @MethodSource("heads")
     void incompleteResponsesDoNotExceedTheBuffersAndOtherRequestsAreServed(String name, String head) throws Exception {
         try (FakeTarget target = new FakeTarget(incomplete(head, "x".repeat(PART_BYTES)));
-                GatewayHarness gateway = new GatewayHarness(new GatewayBuffers(responses), target)) {
+                GatewayHarness gateway = new GatewayHarness(new GatewayBuffers(requests, responses), target)) {
             List<Socket> callers = new ArrayList<>();
             for (int number = 0; number < REQUESTS; number++) {
                 callers.add(send(gateway, request("POST", "/order/x", "a" + number, "", "crates")));
@@ -93,7 +95,7 @@
     void headsWithManyFieldsDoNotExceedTheBuffersAndOtherRequestsAreServed(String end) throws Exception {
         String head = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nAnswer-Seal: s\r\n" + "a:\r\n".repeat(FIELDS) + end;
         try (FakeTarget target = new FakeTarget(incomplete(head, ""));
-                GatewayHarness gateway = new GatewayHarness(new GatewayBuffers(responses), target)) {
+                GatewayHarness gateway = new GatewayHarness(new GatewayBuffers(requests, responses), target)) {
             List<Socket> callers = new ArrayList<>();
             for (int number = 0; number < REQUESTS; number++) {
                 callers.add(send(gateway, request("POST", "/order/x", "a" + number, "", "crates")));
