--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardingAttempt.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardingAttempt.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.concurrent.Future;
 import org.bamboohatch.gateway.GatewayClock;
+import org.bamboohatch.gateway.buffer.BufferBudget;
 import org.bamboohatch.gateway.target.BodyFraming;
 import org.bamboohatch.gateway.target.HttpTargetConnection;
 import org.bamboohatch.gateway.target.LossCause;
@@ -57,7 +58,10 @@
     private HttpResponse response;
 
     /** Body of a response that is not forwarded before it is complete. */
-    private final ByteBuf buffer = Unpooled.buffer(0);
+    private ByteBuf buffer = Unpooled.buffer(0);
+
+    /** Memory of the buffered body, or of the incomplete event. */
+    private final BufferBudget.Holder held;
 
     private Mode mode = Mode.AWAITING_HEAD;
 
@@ -100,11 +104,13 @@
      *
      * @param forwarded the request that is forwarded
      * @param resources the targets and what the attempt occupies there; released when the attempt ends
+     * @param held accounts for the memory of the response; released when the attempt ends
      * @param now current time, in milliseconds
      */
-    ForwardingAttempt(ForwardedRequest forwarded, AttemptResources resources, long now) {
+    ForwardingAttempt(ForwardedRequest forwarded, AttemptResources resources, BufferBudget.Holder held, long now) {
         this.forwarded = forwarded;
         this.resources = resources;
+        this.held = held;
         this.startedAt = now;
         this.eventsBefore = forwarded.framer().eventCount();
         this.lastActivityAt = now;
@@ -194,6 +200,7 @@
         mode = Mode.ENDED;
         resources.release();
         buffer.release();
+        held.release();
         if (idleCheck != null) {
             idleCheck.cancel(false);
         }
@@ -268,6 +275,7 @@
         long now = GatewayClock.now();
         long progressBefore = forwarded.framer().progress();
         byte[] events = forwarded.framer().append(part, now);
+        held.set(forwarded.framer().bufferBytes());
         forwarded.monitor().recordActivity(target(), now);
         if (forwarded.framer().progress() > progressBefore) {
             lastActivityAt = now;
@@ -286,6 +294,9 @@
             rejectResponse(violation.get());
         } else if (forwarded.framer().partialEventBytes() > MAX_EVENT_BYTES) {
             rejectResponse("event of more than " + MAX_EVENT_BYTES + " bytes");
+        } else if (held.exceedsShare()) {
+            rejectResponse(
+                    "event of more than " + forwarded.framer().partialEventBytes() + " bytes while buffers are full");
         }
     }
 
@@ -307,10 +318,11 @@
     private void bufferPart(ByteBuf part) {
         lastActivityAt = GatewayClock.now();
         buffer.writeBytes(part);
-        if (buffer.readableBytes() > MAX_BUFFERED_BYTES) {
+        held.set(buffer.capacity());
+        if (buffer.readableBytes() > MAX_BUFFERED_BYTES || held.exceedsShare()) {
             mode = Mode.FORWARD;
             forwarded.beginResponse(this, response, contentLength());
-            forward(buffer.retainedDuplicate());
+            forward(takeBuffer());
         }
     }
 
@@ -324,6 +336,18 @@
                 || response.status().equals(HttpResponseStatus.NOT_MODIFIED);
     }
 
+    /**
+     * Hands over the buffered body. The responder accounts for its memory from then on.
+     *
+     * @return the body, to be released by the receiver
+     */
+    private ByteBuf takeBuffer() {
+        ByteBuf body = buffer;
+        buffer = Unpooled.EMPTY_BUFFER;
+        held.release();
+        return body;
+    }
+
     /**
      * Returns the content length that the head of the response declares.
      *
@@ -363,7 +387,7 @@
             long length = isHeadOnly() ? contentLength() : buffer.readableBytes();
             forwarded.beginResponse(this, response, stream ? -1 : length);
             if (!stream) {
-                forwarded.responder().content(buffer.retainedDuplicate());
+                forwarded.responder().content(takeBuffer());
             }
         }
         end();
--- a/gateway/src/main/java/org/bamboohatch/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/http/CallerConnection.java
@@ -1,8 +1,8 @@
 package org.bamboohatch.gateway.http;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
@@ -35,6 +35,7 @@
 import io.netty.util.ReferenceCountUtil;
 import org.bamboohatch.document.fleet.CallerLimits;
 import org.bamboohatch.gateway.GatewayClock;
+import org.bamboohatch.gateway.buffer.BufferBudget;
 import org.bamboohatch.kernel.outcome.ErrorCode;
 import org.bamboohatch.kernel.outcome.Refusal;
 
@@ -56,6 +57,9 @@
     /** Value of {@code SO_LINGER} with which unsent bytes are sent after the connection is closed. */
     private static final int NO_RESET_ON_CLOSE = -1;
 
+    /** Retry delay for callers whose request does not fit into the buffers: the time of a typical response. */
+    private static final Duration FULL_BUFFERS_RETRY_DELAY = Duration.ofMillis(500);
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
@@ -68,6 +72,9 @@
     /** Whether queued messages are being handled, each of which may complete a response before the next one is taken. */
     private boolean handlingPipelined;
 
+    /** Parts of responses that the caller has not read yet. */
+    private final BufferBudget.Holder unsent;
+
     private Stage stage = Stage.IDLE;
 
     private ChannelHandlerContext context;
@@ -75,8 +82,8 @@
     /** Head of the request that is being read, or null. */
     private HttpRequest head;
 
-    /** Received part of the body of the request that is being read. */
-    private ByteArrayOutputStream body;
+    /** Body of the request that is being read or in progress, or null. */
+    private RequestBody body;
 
     /** Time at which the complete head had arrived, in milliseconds. */
     private long headReceivedAt;
@@ -103,6 +110,7 @@
 
     CallerConnection(CallerServer server) {
         this.server = server;
+        this.unsent = server.buffers().responses().open();
         this.waitingSince = GatewayClock.now();
     }
 
@@ -131,6 +139,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext inactive) {
         server.onClosed(this);
+        releaseBody();
         pipelined.forEach(ReferenceCountUtil::release);
         pipelined.clear();
         Exchange interrupted = exchange;
@@ -151,7 +160,7 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext changed) {
-        if (exchange != null && changed.channel().isWritable()) {
+        if (exchange != null && exchange.isWritable()) {
             exchange.listener.onWritable();
         }
     }
@@ -192,9 +201,12 @@
         head = request;
         headReceivedAt = GatewayClock.now();
         waitingSince = headReceivedAt;
-        body = new ByteArrayOutputStream();
-        if (HttpUtil.getContentLength(request, 0L) > server.limits().maximumBodyBytes()) {
+        long declaredBytes = HttpUtil.getContentLength(request, 0L);
+        body = new RequestBody(server.buffers().requests().open(), declaredBytes);
+        if (declaredBytes > server.limits().maximumBodyBytes()) {
             refuseAndClose(ErrorCode.TOO_LARGE, "The request body is over its bound.");
+        } else if (!body.fits()) {
+            refuseForFullBuffers();
         } else if (HttpUtil.is100ContinueExpected(request)) {
             context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
@@ -218,10 +230,10 @@
             refuseAndClose(ErrorCode.TOO_LARGE, "The request body is over its bound.");
             return;
         }
-        byte[] bytes = new byte[part.readableBytes()];
-        part.readBytes(bytes);
-        body.writeBytes(bytes);
-        if (content instanceof LastHttpContent) {
+        body.append(part);
+        if (!body.fits()) {
+            refuseForFullBuffers();
+        } else if (content instanceof LastHttpContent) {
             serve();
         }
     }
@@ -230,13 +242,12 @@
     private void serve() {
         stage = Stage.RESPONSE;
         InboundRequest request =
-                new InboundRequest(head.method(), head.uri(), head.headers(), body.toByteArray(), headReceivedAt);
+                new InboundRequest(head.method(), head.uri(), head.headers(), body.complete(), headReceivedAt);
         boolean chunksAllowed = head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
         Exchange started = new Exchange(
                 chunksAllowed && HttpUtil.isKeepAlive(head), head.method().equals(HttpMethod.HEAD), chunksAllowed);
         exchange = started;
         head = null;
-        body = null;
         CallerRequestHandler.Listener listener = server.begin(request, started);
         started.listener = listener;
     }
@@ -251,19 +262,43 @@
         refuseAndClose(Refusal.notRun(code, message));
     }
 
+    private void refuseForFullBuffers() {
+        refuseAndClose(Refusal.notRun(ErrorCode.OVERLOADED, "The gateway has no room for the request body.")
+                .withRetryAfter(FULL_BUFFERS_RETRY_DELAY));
+    }
+
     private void refuseAndClose(Refusal refusal) {
         boolean headOnly = head != null && head.method().equals(HttpMethod.HEAD);
         head = null;
-        body = null;
         exchange = new Exchange(false, headOnly, false);
         stage = Stage.RESPONSE;
         server.logRejection(refusal.code());
         exchange.refuse(refusal);
     }
 
+    private void releaseBody() {
+        if (body != null) {
+            body.release();
+            body = null;
+        }
+    }
+
+    /**
+     * Updates the size of the unsent parts.
+     *
+     * @param bytes size of a part that was sent, or dropped with the connection
+     */
+    private void onSent(int bytes) {
+        unsent.add(-bytes);
+        if (unsent.isEmpty() && exchange != null) {
+            exchange.listener.onWritable();
+        }
+    }
+
     /** Continues with the queued messages after a response, and resumes reading if none is left. */
     private void beginNextRequest() {
         exchange = null;
+        releaseBody();
         stage = Stage.IDLE;
         waitingSince = GatewayClock.now();
         if (!handlingPipelined) {
@@ -400,7 +435,9 @@
                 part.release();
                 return;
             }
-            context.writeAndFlush(new DefaultHttpContent(part));
+            int bytes = part.readableBytes();
+            unsent.add(bytes);
+            context.writeAndFlush(new DefaultHttpContent(part)).addListener(done -> onSent(bytes));
         }
 
         @Override
@@ -424,6 +461,7 @@
          */
         private void closeAfterLinger(io.netty.channel.ChannelFuture written) {
             exchange = null;
+            releaseBody();
             stage = Stage.CLOSING;
             ChannelHandlerContext closing = context;
             written.addListener(done -> {
@@ -438,6 +476,7 @@
         public void abort() {
             if (isOpen()) {
                 exchange = null;
+                releaseBody();
                 stage = Stage.CLOSING;
                 context.flush();
                 context.close();
@@ -475,7 +514,7 @@
 
         @Override
         public boolean isWritable() {
-            return context.channel().isWritable();
+            return context.channel().isWritable() && !unsent.exceedsShare();
         }
 
         @Override
--- a/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
@@ -48,6 +48,8 @@
 
     private final TargetProbe probe;
 
+    private final HeadMemory headMemory;
+
     private Channel channel;
 
     /** Receives the response to the request in progress, null if there is none. */
@@ -110,6 +112,7 @@
         this.requestIdField = requestIdField;
         this.pool = pool;
         this.probe = probe;
+        this.headMemory = new HeadMemory(pool.openResponseBuffer());
     }
 
     TargetAddress address() {
@@ -242,14 +245,23 @@
 
         @Override
         public void channelRead(ChannelHandlerContext reading, Object message) {
-            if (message instanceof ByteBuf bytes && !headReceived) {
-                unrelatedBytes += bytes.readableBytes();
-            }
+            int headBytes = message instanceof ByteBuf bytes && !headReceived ? bytes.readableBytes() : 0;
+            unrelatedBytes += headBytes;
             if (listener == null || unrelatedBytes > MAX_UNRELATED_BYTES) {
                 ReferenceCountUtil.release(message);
                 loseResponse(LossCause.UNRELATED_BYTES);
             } else {
                 reading.fireChannelRead(message);
+                accountForHead(headBytes);
+            }
+        }
+    }
+
+    private void accountForHead(int headBytes) {
+        if (!headReceived && listener != null) {
+            headMemory.recordRead(headBytes);
+            if (headMemory.exceedsShare()) {
+                loseResponse(LossCause.OVERSIZED_HEAD);
             }
         }
     }
@@ -283,9 +295,15 @@
         boolean answersRequest = !discarding && expectedId != null;
         pool.observe(address, response, answersRequest ? OptionalLong.of(sentAt) : OptionalLong.empty());
         if (discarding) {
+            headMemory.recordUnrelatedMessage();
             return;
         }
         headReceived = true;
+        headMemory.recordHead(response.headers());
+        if (headMemory.exceedsShare()) {
+            loseResponse(LossCause.OVERSIZED_HEAD);
+            return;
+        }
         bodyMissing = response.status().codeClass() == HttpStatusClass.SUCCESS;
         // The codec pairs responses and methods in their order, so a second response to HEAD would be read with a body.
         boolean matchable = (id != null || expectedId == null) && !headOnly;
@@ -328,6 +346,7 @@
     private void handleContent(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
         if (discarding) {
+            headMemory.recordUnrelatedMessage();
             discarding = !last;
             return;
         }
@@ -355,6 +374,7 @@
         ResponseListener completed = listener;
         listener = null;
         unrelatedBytes = 0;
+        headMemory.release();
         channel.config().setAutoRead(true);
         boolean drained = !channel.pipeline().get(TargetCodec.class).hasUndecodedBytes();
         if (reusable && drained && requestWrite.isDone() && channel.isActive()) {
@@ -396,6 +416,7 @@
     private void loseResponse(LossCause cause) {
         ResponseListener lost = listener;
         listener = null;
+        headMemory.release();
         channel.close();
         if (lost != null) {
             lost.onLost(cause);
--- a/gateway/src/main/java/org/bamboohatch/gateway/target/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/TargetConnectionPool.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.bamboohatch.gateway.buffer.BufferBudget;
 import org.bamboohatch.protocol.transport.Network;
 
 /** Pool of connections to targets; confined to the callers' event loop. */
@@ -48,6 +49,9 @@
     /** Finds out whether targets still run. */
     private final TargetProbe probe;
 
+    /** Memory of all responses. */
+    private final BufferBudget responses;
+
     /** The idle connections by target, the most recently used first. */
     private final Map<TargetAddress, Deque<HttpTargetConnection>> idle = new HashMap<>();
 
@@ -57,8 +61,11 @@
      * @param loop the event loop that serves all callers
      * @param requestIdField name of the header field with the id of a request
      * @param observer receives the heads of all responses, also of those that belong to no request in progress
+     * @param responses memory of all responses
      */
-    public TargetConnectionPool(EventLoop loop, String requestIdField, ResponseObserver observer) {
+    public TargetConnectionPool(
+            EventLoop loop, String requestIdField, ResponseObserver observer, BufferBudget responses) {
+        this.responses = responses;
         this.loop = loop;
         this.requestIdField = requestIdField;
         this.observer = observer;
@@ -80,6 +87,10 @@
         void onHead(TargetAddress target, HttpResponse head, OptionalLong requestSentAt);
     }
 
+    BufferBudget.Holder openResponseBuffer() {
+        return responses.open();
+    }
+
     void observe(TargetAddress target, HttpResponse head, OptionalLong requestSentAt) {
         observer.onHead(target, head, requestSentAt);
     }
--- a/gateway/src/test/java/org/bamboohatch/gateway/target/TargetProbeTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/target/TargetProbeTest.java
@@ -12,6 +12,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import org.bamboohatch.gateway.buffer.BufferBudget;
 import org.bamboohatch.kernel.id.TargetName;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -28,7 +29,8 @@
     private final EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
 
     private boolean probe(int port, long settlingMillis) {
-        TargetConnectionPool pool = new TargetConnectionPool(loop, "Request-Id", (target, head, requestSentAt) -> {});
+        TargetConnectionPool pool = new TargetConnectionPool(
+                loop, "Request-Id", (target, head, requestSentAt) -> {}, new BufferBudget(1 << 20, 1));
         TargetProbe probe = new TargetProbe.ForConnections(pool, loop, settlingMillis);
         TargetAddress address = new TargetAddress(new TargetName("target"), 1, LOOPBACK.getHostAddress() + ':' + port);
         CompletableFuture<Boolean> result = new CompletableFuture<>();
