--- a/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
@@ -376,8 +376,7 @@
         unrelatedBytes = 0;
         headMemory.release();
         channel.config().setAutoRead(true);
-        boolean drained = !channel.pipeline().get(TargetCodec.class).hasUndecodedBytes();
-        if (reusable && drained && requestWrite.isDone() && channel.isActive()) {
+        if (reusable && requestWrite.isDone() && channel.isActive() && !hasUndecodedBytes()) {
             idleSince = GatewayClock.now();
             pool.release(this);
         } else {
@@ -386,6 +385,10 @@
         completed.onEnd();
     }
 
+    private boolean hasUndecodedBytes() {
+        return channel.pipeline().get(TargetCodec.class).hasUndecodedBytes();
+    }
+
     /**
      * Reports the end of a response that has ended with its connection. A target that crashes closes its connections too, so
      * the response is lost if the target has ended, or if nothing but the head shows a success.
