End the drain of a gateway only when its port was closed at an earlier check

A connection could still be established in the moment after the drain. Netty closes the port's channel at once, but the JDK leaves the socket to the selector, which closes it when it next removes the cancelled key; until then the kernel accepts connections, and resets them afterwards. Nothing on them is read.

Found by the build: RequestDrainTest.noConnectionIsAcceptedAfterTheDrain failed once in a full run of the module beside other builds ("Expecting code to raise a throwable"), after it had passed in seven runs of its own and in one full run.

The drain now ends at a check that finds the port closed by an earlier one.

--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/RequestDrain.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/RequestDrain.java
@@ -74,6 +74,8 @@
      * @return whether no connection is open and none will be accepted
      */
     private boolean check(long elapsed) {
+        // The kernel accepts connections until the selector has removed the key of a closed port, after this check.
+        boolean portClosedBefore = !callers.isAccepting();
         // Between two checks, connections that wait to be accepted are accepted; closing the port would reset them.
         if (closesPort) {
             callers.stopAccepting();
@@ -88,7 +90,7 @@
         // A caller learns more from a refusal than from a closed port, so the server accepts for as long as there is
         // work.
         closesPort = answersOver || admissionOver && open == 0;
-        return open == 0 && !callers.isAccepting();
+        return open == 0 && portClosedBefore;
     }
 
     private static void awaitNextCheck() {
