Pass on what precedes the head of another response

Where the head of another response begins in a body, decoding failed for the whole part that had arrived with it, so that events before it were lost and sent again by the next target. The part is now divided there (ResumedStreamTest failed without).

--- a/gateway/src/main/java/org/bamboohatch/gateway/target/EmbeddedHeadDetector.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/EmbeddedHeadDetector.java
@@ -32,6 +32,12 @@
 
     private boolean lineEmpty = true;
 
+    /** Number of bytes examined so far. */
+    private long examined;
+
+    /** Number of bytes before the status line, if there is one with no empty line since. */
+    private long headStart;
+
     private boolean detected;
 
     /**
@@ -66,7 +72,21 @@
         return withinHead || statusLine || statusLineMatched > 0;
     }
 
+    long examined() {
+        return examined;
+    }
+
+    /**
+     * Returns where the head of another response begins, or may begin.
+     *
+     * @return number of bytes of the body before it
+     */
+    long headStart() {
+        return withinHead || statusLine ? headStart : examined - statusLineMatched;
+    }
+
     private void accept(byte next) {
+        examined++;
         if (next == '\n') {
             withinHead = statusLine || withinHead && !lineEmpty;
             statusLine = false;
@@ -95,6 +115,9 @@
         byte expected = STATUS_LINE[statusLineMatched];
         boolean matches = expected == '0' ? next >= '0' && next <= '9' : next == expected;
         statusLineMatched = matches ? statusLineMatched + 1 : next == STATUS_LINE[0] ? 1 : 0;
-        statusLine |= statusLineMatched == STATUS_LINE.length;
+        if (statusLineMatched == STATUS_LINE.length && !statusLine) {
+            statusLine = true;
+            headStart = withinHead ? headStart : examined - statusLineMatched;
+        }
     }
 }
--- a/gateway/src/main/java/org/bamboohatch/gateway/target/TargetCodec.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/TargetCodec.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.CombinedChannelDuplexHandler;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -102,29 +103,35 @@
         protected void decode(ChannelHandlerContext context, ByteBuf input, List<Object> messages) throws Exception {
             int first = messages.size();
             super.decode(context, input, messages);
-            for (int index = first; index < messages.size(); index++) {
-                Object message = messages.get(index);
+            for (Object message : List.copyOf(messages.subList(first, messages.size()))) {
                 if (message instanceof HttpResponse) {
                     bodyDetector = new EmbeddedHeadDetector(requestIdField);
                 }
-                if (message instanceof HttpContent content && isJoined(content, input.isReadable())) {
-                    content.setDecoderResult(
-                            DecoderResult.failure(new IllegalArgumentException("head of a response within a body")));
+                if (message instanceof HttpContent content && content.content().isReadable()) {
+                    rejectJoined(content, input.isReadable(), messages);
                 }
             }
         }
 
         /**
-         * Indicates whether a part of a body may belong to another response.
+         * Lets decoding fail where the head of another response begins, or may begin and go on behind the body.
          *
-         * @param content the part
+         * @param content a part of a body
          * @param followed whether more bytes have arrived behind it
-         * @return whether another head was detected, or may begin in the body and go on behind it
+         * @param messages the decoded messages
          */
-        private boolean isJoined(HttpContent content, boolean followed) {
+        private void rejectJoined(HttpContent content, boolean followed, List<Object> messages) {
+            long partStart = bodyDetector.examined();
+            boolean detected = bodyDetector.append(content.content());
             boolean last = content instanceof LastHttpContent;
-            return content.content().isReadable()
-                    && (bodyDetector.append(content.content()) || last && followed && bodyDetector.mayBeWithinHead());
+            if (detected || last && followed && bodyDetector.mayBeWithinHead()) {
+                content.setDecoderResult(
+                        DecoderResult.failure(new IllegalArgumentException("head of a response within a body")));
+                int soundBytes = (int) Math.max(0, bodyDetector.headStart() - partStart);
+                messages.add(
+                        messages.indexOf(content),
+                        new DefaultHttpContent(content.content().readRetainedSlice(soundBytes)));
+            }
         }
 
         @Override
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/ResumedStreamTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/ResumedStreamTest.java
@@ -110,7 +110,7 @@
                 "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nAnswer-Seal: second\r\nContent-Type: text/event-stream\r\n";
         String text = resume(head + String.format(framing, next) + head + "\r\n" + next);
 
-        assertThat(text).contains(FIRST_EVENT);
+        assertThat(text).contains(FIRST_EVENT).contains(next);
         assertThat(text).doesNotContain("Answer-Seal: second");
         assertThat(text).doesNotEndWith(COMPLETE_END);
     }
