Let responses that callers do not read neither pile up nor stay

A caller that sent requests one behind the other on a connection and did not read made the gateway hold all of their responses, up to 1 MiB each; one that did not read the end of a response whose connection is to be closed kept it and its connection for good. Both take the memory of other callers' requests.

Cause: the next request on a connection began when the response before it had ended, not when it had been sent, so that nothing bounded the unsent bytes of one connection; and no timeout applied between the end of a response and the close of its connection, which waits until everything is sent. Ruled out: a caller that does not read while the response goes on; its target is not read either, and its deadline closes the connection.

A connection is now in a stage of its own from the end of a response until it has been sent. Requests behind it wait as they do during the response, and a caller that takes in nothing for the idle timeout is disconnected; a slow one that still reads is not.

--- a/gateway/src/main/java/org/bamboohatch/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/http/CallerConnection.java
@@ -1,19 +1,16 @@
 package org.bamboohatch.gateway.http;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -55,8 +52,6 @@
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
-    private static final ObjectMapper MAPPER = new ObjectMapper();
-
     private final CallerServer server;
 
     /** Messages that arrived while a request was in progress. */
@@ -81,6 +76,9 @@
     /** Time since which the connection waits for input, in milliseconds. */
     private long waitingSince;
 
+    /** Size of the response that the caller has not read, as of the last check, in bytes. */
+    private long lastUnsentBytes;
+
     /** The request in progress, or null. */
     private Exchange exchange;
 
@@ -94,8 +92,14 @@
         BODY,
         /** The end of the response. */
         RESPONSE,
+        /** The caller, who has not read all of the response. */
+        FLUSHING,
         /** Nothing, the connection is being closed. */
-        CLOSING
+        CLOSING;
+
+        private boolean isReading() {
+            return this == IDLE || this == HEAD || this == BODY;
+        }
     }
 
     CallerConnection(CallerServer server) {
@@ -159,7 +163,7 @@
     public void channelRead(ChannelHandlerContext reading, Object message) {
         if (stage == Stage.CLOSING) {
             ReferenceCountUtil.release(message);
-        } else if (stage == Stage.RESPONSE) {
+        } else if (stage == Stage.RESPONSE || stage == Stage.FLUSHING) {
             pipelined.add(message);
             if (pipelined.size() > MAX_PIPELINED_MESSAGES) {
                 reading.channel().config().setAutoRead(false);
@@ -285,11 +289,9 @@
 
     /** Continues with the queued messages after a response, and resumes reading if none is left. */
     private void beginNextRequest() {
-        exchange = null;
-        releaseBody();
         stage = Stage.IDLE;
         waitingSince = GatewayClock.now();
-        while (stage != Stage.RESPONSE && stage != Stage.CLOSING && !pipelined.isEmpty()) {
+        while (stage.isReading() && !pipelined.isEmpty()) {
             handleMessage(pipelined.poll());
         }
         if (pipelined.isEmpty() && context.channel().isActive()) {
@@ -310,6 +312,25 @@
             refuseAndClose(ErrorCode.REQUEST_TIMEOUT, "The request did not arrive in time.");
         } else if (stage == Stage.IDLE && waitedMillis > limits.idleTimeoutMillis()) {
             closeIdle();
+        } else if (stage == Stage.FLUSHING) {
+            enforceReading(limits, now);
+        }
+    }
+
+    /**
+     * Closes the connection if the caller reads no more of a response that has ended.
+     *
+     * @param limits the current limits of callers
+     * @param now current time, in milliseconds
+     */
+    private void enforceReading(CallerLimits limits, long now) {
+        ChannelOutboundBuffer unwritten = context.channel().unsafe().outboundBuffer();
+        long unsentBytes = unwritten == null ? 0 : unwritten.totalPendingWriteBytes() - unwritten.currentProgress();
+        if (unsentBytes != lastUnsentBytes) {
+            lastUnsentBytes = unsentBytes;
+            waitingSince = now;
+        } else if (now - waitingSince > limits.idleTimeoutMillis()) {
+            closeIdle();
         }
     }
 
@@ -393,27 +414,34 @@
             if (!isOpen()) {
                 return;
             }
-            var written = context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-            if (closes) {
-                closeAfterLinger(written);
-            } else {
+            exchange = null;
+            releaseBody();
+            stage = Stage.FLUSHING;
+            waitingSince = GatewayClock.now();
+            context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(written -> {
+                if (written.isSuccess()) {
+                    onFlushed();
+                }
+            });
+        }
+
+        /** Continues once the caller's connection has taken the whole response, so that responses do not pile up. */
+        private void onFlushed() {
+            if (stage == Stage.FLUSHING && closes) {
+                closeAfterLinger();
+            } else if (stage == Stage.FLUSHING) {
                 beginNextRequest();
             }
         }
 
         /**
-         * Closes the connection some time after the last write. Input is still read meanwhile, because closing a connection
+         * Closes the connection after some time. Input is still read meanwhile, because closing a connection
          * with unread input would reset it and could destroy the response before the caller has read it.
-         *
-         * @param written the last write
          */
-        private void closeAfterLinger(io.netty.channel.ChannelFuture written) {
-            exchange = null;
-            releaseBody();
+        private void closeAfterLinger() {
             stage = Stage.CLOSING;
             ChannelHandlerContext closing = context;
-            written.addListener(
-                    done -> closing.executor().schedule(() -> closing.close(), LINGER_MS, TimeUnit.MILLISECONDS));
+            closing.executor().schedule(() -> closing.close(), LINGER_MS, TimeUnit.MILLISECONDS);
         }
 
         @Override
@@ -432,7 +460,7 @@
             if (!isOpen()) {
                 return;
             }
-            byte[] text = errorBody(refusal);
+            byte[] text = ErrorBody.of(refusal);
             HttpHeaders headers = new DefaultHttpHeaders();
             headers.set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
             refusal.retryAfter()
@@ -443,19 +471,6 @@
             end();
         }
 
-        private static byte[] errorBody(Refusal refusal) {
-            ObjectNode error = MAPPER.createObjectNode();
-            ObjectNode fields = error.putObject("error");
-            fields.put("code", refusal.code().wireName());
-            fields.put("message", refusal.sentence());
-            fields.put("outcome", refusal.outcome().wireName());
-            try {
-                return MAPPER.writeValueAsString(error).getBytes(StandardCharsets.UTF_8);
-            } catch (JsonProcessingException impossible) {
-                throw new IllegalStateException(impossible);
-            }
-        }
-
         @Override
         public boolean isWritable() {
             return context.channel().isWritable() && !unsent.exceedsShare();
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
@@ -54,6 +54,8 @@
 
     static final CallerLimits LIMITS = new CallerLimits(4_096, 20_000, 400, 3_000);
 
+    private static final int SMALL_WINDOW_BYTES = 4_096;
+
     private static final ServiceName SERVICE = new ServiceName("portal");
 
     private static final ServiceName ENGINES = new ServiceName("engines");
@@ -238,6 +240,20 @@
         return socket;
     }
 
+    /** Connects as a caller whose operating system takes in few bytes that are not read. */
+    Socket connectWithSmallWindow() throws IOException {
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(SMALL_WINDOW_BYTES);
+        socket.connect(new InetSocketAddress("127.0.0.1", port));
+        socket.setSoTimeout(8_000);
+        return socket;
+    }
+
+    /** Returns the number of open connections of callers. */
+    int openConnections() throws Exception {
+        return onLoop(() -> callers.closeIdle(Long.MAX_VALUE));
+    }
+
     /** Sends a request on a new connection and returns everything received until the connection ends. */
     String call(String request) throws IOException {
         try (Socket socket = connect()) {
