Keep room for small requests and responses in full buffers

Cause: the share of a holder is a part of what is free. Responses that wait for their callers stop growing when they exceed it, but give nothing back, and each goes one read beyond its share; so many of them take all of it, the share of the others is zero, and even the usual head of a response exceeds it.

A holder of up to 16 KiB never yields, so the capacity may be exceeded by 16 KiB, and a read, for each request and each connection in use.

ManyEndlessResponsesTest.smallRequestsAndResponsesFindRoomInFullBuffers fails on the code before (503 instead of the response).

--- a/gateway/src/main/java/org/bamboohatch/gateway/buffer/BufferBudget.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/buffer/BufferBudget.java
@@ -3,10 +3,13 @@
 /**
  * Memory that the requests of a gateway share for their buffers; confined to the callers' event loop. Nobody may hold more
  * than a share of what is free. The fuller the buffers are, the less that is, so the largest holders yield first, while
- * small ones find room until the buffers are nearly full.
+ * small ones always find room.
  */
 public final class BufferBudget {
 
+    /** Size up to which a holder never yields, in bytes: more than most requests and responses need. */
+    private static final long SMALL_HOLDER_BYTES = 16 * 1024;
+
     private final long capacityBytes;
 
     /** Part of the free memory that a single holder may hold. */
@@ -86,10 +89,10 @@
         /**
          * Indicates whether the buffers are larger than their share, so that they must not grow.
          *
-         * @return whether something is held, and more than the share of what is free
+         * @return whether they are not small, and larger than the share of what is free
          */
         public boolean exceedsShare() {
-            return bytes > Math.max(0, capacityBytes - heldBytes) * share;
+            return bytes > Math.max(SMALL_HOLDER_BYTES, (capacityBytes - heldBytes) * share);
         }
     }
 }
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/ManyEndlessResponsesTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/ManyEndlessResponsesTest.java
@@ -10,6 +10,7 @@
 
 import org.bamboohatch.gateway.buffer.BufferBudget;
 import org.bamboohatch.gateway.buffer.GatewayBuffers;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -110,6 +111,17 @@
         }
     }
 
+    @Test
+    void smallRequestsAndResponsesFindRoomInFullBuffers() throws Exception {
+        requests.open().set(2 * CAPACITY_BYTES);
+        responses.open().set(2 * CAPACITY_BYTES);
+        try (FakeTarget target = new FakeTarget(incomplete("", ""));
+                GatewayHarness gateway = new GatewayHarness(new GatewayBuffers(requests, responses), target)) {
+            assertThat(gateway.call(request("POST", "/read/x", "sound", "", "crates")))
+                    .endsWith("body");
+        }
+    }
+
     /** Everything is given back at the end of the requests. */
     private void awaitRelease(GatewayHarness gateway) throws Exception {
         while (gateway.onLoop(responses::heldBytes) > 0) {
