Let a fake target that crashes accept no more connections

The gateway probes the target with a connection, and that connection was opened: closing a listener does not end the call of a thread that waits in accept(), and the kernel keeps the listener until that call returns.

A fake target that crashes now waits for its accepting thread before it closes its connections, as all descriptors of a process that crashes are closed with its threads gone. Connections that the thread has accepted last are closed, too. Without this, the cases of BrokenResponseTest with a crash could fail now and then.

--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/FakeTarget.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/FakeTarget.java
@@ -41,10 +41,11 @@
 
     private final Script script;
 
+    private final Thread accepting = new Thread(this::accept, "fake-target");
+
     FakeTarget(Script script) throws IOException {
         this.script = script;
         this.listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-        Thread accepting = new Thread(this::accept, "fake-target");
         accepting.setDaemon(true);
         accepting.start();
     }
@@ -130,6 +131,12 @@
     /** Ends like a process that crashes: no connection remains open, and none is accepted any more. */
     void crash() throws IOException {
         listener.close();
+        try {
+            // The host accepts connections until the thread has left its call.
+            accepting.join();
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
         for (Socket connection : connections) {
             connection.close();
         }
