--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/FakeTarget.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/FakeTarget.java
@@ -20,6 +20,9 @@
     /** Answers a request by writing to its connection, which is closed if the result is false. */
     interface Script {
         boolean answer(ReceivedRequest request, Socket connection) throws IOException, InterruptedException;
+
+        /** Precedes the body of a request, which is empty here. */
+        default void onHead(ReceivedRequest head, Socket connection) throws IOException, InterruptedException {}
     }
 
     /** A request as it was received. */
@@ -72,7 +75,7 @@
         try (connection) {
             boolean open = true;
             while (open) {
-                ReceivedRequest request = read(connection.getInputStream());
+                ReceivedRequest request = read(connection);
                 received.add(request);
                 open = script.answer(request, connection);
             }
@@ -81,7 +84,8 @@
         }
     }
 
-    private static ReceivedRequest read(InputStream stream) throws IOException {
+    private ReceivedRequest read(Socket connection) throws IOException, InterruptedException {
+        InputStream stream = connection.getInputStream();
         String line = readLine(stream);
         Map<String, String> headers = new TreeMap<>();
         for (String field = readLine(stream); !field.isEmpty(); field = readLine(stream)) {
@@ -90,6 +94,7 @@
                     field.substring(0, colon).toLowerCase(Locale.ROOT),
                     field.substring(colon + 1).strip());
         }
+        script.onHead(new ReceivedRequest(line, headers, new byte[0]), connection);
         int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
         return new ReceivedRequest(line, headers, stream.readNBytes(length));
     }
