--- a/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -64,6 +65,9 @@
     /** Whether the response that arrives does not belong to the request in progress, or is informational. */
     private boolean discarding;
 
+    /** Whether the request in progress asks for the head of a response only. */
+    private boolean headOnly;
+
     /** Whether the connection can carry another request after the response. */
     private boolean reusable;
 
@@ -158,6 +162,7 @@
         sentAt = GatewayClock.now();
         listener = responseListener;
         expectedId = headers.get(requestIdField);
+        headOnly = method.equals(HttpMethod.HEAD);
         carriedUnidentified |= expectedId == null;
         discarding = false;
         headReceived = false;
@@ -268,7 +273,8 @@
     }
 
     private void handleHead(HttpResponse response) {
-        if (response.decoderResult().isFailure()) {
+        boolean switching = response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
+        if (response.decoderResult().isFailure() || switching) {
             loseResponse(LossCause.MALFORMED);
             return;
         }
@@ -281,7 +287,9 @@
         }
         headReceived = true;
         bodyMissing = response.status().codeClass() == HttpStatusClass.SUCCESS;
-        reusable = BodyFraming.of(response).isExplicit() && HttpUtil.isKeepAlive(response);
+        // The codec pairs responses and methods in their order, so a second response to HEAD would be read with a body.
+        boolean matchable = (id != null || expectedId == null) && !headOnly;
+        reusable = matchable && BodyFraming.of(response).isExplicit() && HttpUtil.isKeepAlive(response);
         keepAliveMillis = parseKeepAliveMillis(response.headers());
         listener.onHead(response);
     }
