--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/FaultyTargets.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/FaultyTargets.java
@@ -43,6 +43,8 @@
         REPEATED(SUCCESS),
         /** A second response takes the place of the rest of the first one. */
         REPLACED(SUCCESS),
+        /** A stream that should be continued begins again. */
+        RESTARTED(SUCCESS),
         /** The response precedes the body of the request. */
         EARLY(SUCCESS),
         /** The connection is reset while the request is read, in some cases after a response. */
@@ -202,7 +204,8 @@
             // Nothing but chunks tells the bytes of another response from a body that has no events.
             boolean mixed = fault == Fault.REPLACED || fault == Fault.REPEATED && !drawn.isExplicit();
             framing = mixed && !stream ? BodyFraming.CHUNKS : drawn;
-            int next = Integer.parseInt(request.headers().getOrDefault("last-event-id", "0"));
+            int last = Integer.parseInt(request.headers().getOrDefault("last-event-id", "0"));
+            int next = fault == Fault.RESTARTED ? 0 : last;
             List<String> parts = stream ? events(id).subList(next, events(id).size()) : List.of("body of ", seal);
             String body = String.join("", parts);
             segments.add("HTTP/1.1 " + fault.status + " Status\r\n");
@@ -230,7 +233,7 @@
                     && cutSegment >= headSegments
                     && (!stream || cutOffset == 0 && cutSegment > headSegments);
             ending = Ending.draw(random, looksWhole);
-            attempts.add(new Sent(seal, fault.status, body, fault != Fault.NOT_EXECUTED, target, describe(next)));
+            attempts.add(new Sent(seal, fault.status, body, fault != Fault.NOT_EXECUTED, target, describe(last)));
         }
 
         private String describe(int lastEvent) {
