--- a/agent/src/main/java/org/bamboohatch/agent/driver/CompletionsDriver.java
+++ b/agent/src/main/java/org/bamboohatch/agent/driver/CompletionsDriver.java
@@ -1,6 +1,8 @@
 package org.bamboohatch.agent.driver;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.CharBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -49,7 +51,7 @@
 
         @Override
         public void run(Dispatch dispatch, RunListener listener) {
-            AnswerReader reader = new AnswerReader(listener);
+            AnswerReader reader = new AnswerReader(listener, dispatch.outputTokens());
             ServerSentEventParser parser = new ServerSentEventParser(reader::onEvent);
             calls.newRequest(dispatch)
                     .onResponseContent((response, buffer) -> {
@@ -90,18 +92,27 @@
          * @param load response with the loaded models, each as {@code name@version}, and the prefill time
          * @param streams response with the identifiers of the running streams
          * @return the state of the engine
+         * @throws IllegalStateException if one of them is not such a response
          */
         private static TargetState state(JsonNode load, JsonNode streams) {
             List<LoadedModel> models = new ArrayList<>();
-            for (JsonNode model : load.path("models")) {
+            for (JsonNode model : array(load, "models")) {
                 String[] parts = model.asText().split("@", 2);
                 models.add(new LoadedModel(new ModelName(parts[0]), parts.length > 1 ? parts[1] : ""));
             }
             List<String> ids = new ArrayList<>();
-            streams.path("ids").forEach(id -> ids.add(id.asText()));
+            array(streams, "ids").forEach(id -> ids.add(id.asText()));
             return new TargetState(models, load.path("millis_per_prompt_token").asDouble(), ids);
         }
 
+        private static JsonNode array(JsonNode response, String name) {
+            JsonNode array = response.path(name);
+            if (!array.isArray()) {
+                throw new IllegalStateException("response without " + name);
+            }
+            return array;
+        }
+
         @Override
         public CompletableFuture<Void> executeOrder(PlacementOrder order, long fence) {
             String model = order.model().name() + "@" + order.model().version();
@@ -121,42 +132,85 @@
         /** Whether the event that ends the stream was received. */
         private boolean done;
 
-        AnswerReader(RunListener listener) {
+        /** Text that was received and not forwarded, with the number of its tokens. */
+        private String heldText = "";
+
+        private int heldTokens;
+
+        /** Number of output tokens that the engine may still send. */
+        private long remainingTokens;
+
+        AnswerReader(RunListener listener, long maximumTokens) {
             this.listener = listener;
+            this.remainingTokens = maximumTokens;
         }
 
         /**
-         * Reads an event and forwards its text, which counts as a single output token.
+         * Reads an event and forwards its text, which counts as a single output token. Whatever follows the event that ends
+         * the stream is ignored.
          *
          * @param data data of the event
+         * @throws IOException if it is no event of an answer, so that text of the answer may be missing
          */
-        void onEvent(String data) {
+        void onEvent(String data) throws IOException {
+            if (done) {
+                return;
+            }
             if (data.equals(DONE)) {
                 done = true;
                 return;
             }
-            try {
-                JsonNode choice =
-                        HttpCalls.MAPPER.readTree(data).path("choices").path(0);
-                String text = choice.path("text").asText("");
-                if (!text.isEmpty()) {
-                    listener.onData(text.getBytes(StandardCharsets.UTF_8), 1);
-                }
-                if (choice.path("finish_reason").isTextual()) {
-                    finishReason = choice.path("finish_reason").asText();
+            JsonNode event = HttpCalls.MAPPER.readTree(data);
+            if (!event.isObject() || event.hasNonNull("error")) {
+                throw new IOException("not an event of an answer");
+            }
+            JsonNode choice = event.path("choices").path(0);
+            String text = choice.path("text").asText("");
+            if (!text.isEmpty()) {
+                if (!finishReason.isEmpty()) {
+                    throw new IOException("text after the finish reason");
                 }
-            } catch (IOException malformed) {
-                finishReason = "";
+                deliver(text);
+            }
+            if (choice.path("finish_reason").isTextual()) {
+                finishReason = choice.path("finish_reason").asText();
+            }
+        }
+
+        /**
+         * Forwards the text of an output token. The first half of a character whose second half is in the next event is
+         * forwarded together with that.
+         *
+         * @param text the text, not empty
+         * @throws IOException if the answer is too long, or the text holds half a character
+         */
+        private void deliver(String text) throws IOException {
+            if (remainingTokens == 0) {
+                throw new IOException("more output than was requested");
+            }
+            remainingTokens--;
+            heldTokens++;
+            String received = heldText + text;
+            if (Character.isHighSurrogate(received.charAt(received.length() - 1))) {
+                heldText = received;
+                return;
             }
+            ByteBuffer encoded = StandardCharsets.UTF_8.newEncoder().encode(CharBuffer.wrap(received));
+            byte[] bytes = new byte[encoded.remaining()];
+            encoded.get(bytes);
+            listener.onData(bytes, heldTokens);
+            heldText = "";
+            heldTokens = 0;
         }
 
         /**
          * Indicates whether the answer is complete.
          *
-         * @return {@code true} if the engine ended the stream with a finish reason and was not cancelled
+         * @return {@code true} if the engine ended the stream with a finish reason and was not cancelled, and all text is
+         *     forwarded
          */
         boolean isComplete() {
-            return done && !finishReason.isEmpty() && !finishReason.equals(CANCELLED);
+            return done && heldTokens == 0 && !finishReason.isEmpty() && !finishReason.equals(CANCELLED);
         }
     }
 }
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -62,10 +64,14 @@
 
     private final GatewayMetrics metrics;
 
-    private boolean admitting = true;
+    /** Monotonic time from which on requests are refused, in milliseconds. */
+    private long admissionEndsAt = Long.MAX_VALUE;
 
-    /** Number of requests in progress. */
-    private int openRequests;
+    /** Monotonic time at which requests in progress are ended, in milliseconds; infinite unless a drain has begun. */
+    private double answersEndAt = Double.POSITIVE_INFINITY;
+
+    /** The requests in progress. */
+    private final Set<ForwardedRequest> openRequests = new HashSet<>();
 
     /**
      * Creates a forwarder without targets.
@@ -113,7 +119,7 @@
      * @return the number of admitted requests whose response has not ended
      */
     public int openRequests() {
-        return openRequests;
+        return openRequests.size();
     }
 
     /**
@@ -127,18 +133,39 @@
 
     /** Refuses all further requests, because the end of the process could cut off their responses. */
     public void stopAdmitting() {
-        admitting = false;
+        admissionEndsAt = Long.MIN_VALUE;
+    }
+
+    /**
+     * Sets the times from which on requests are refused and at which those in progress are ended.
+     *
+     * @param schedule phases of the drain
+     * @param now current time, at which the drain begins, in milliseconds
+     */
+    public void beginDrain(DrainSchedule schedule, long now) {
+        admissionEndsAt = now + schedule.admissionMillis();
+        answersEndAt = now + schedule.answerMillis();
+    }
+
+    /**
+     * Ends all requests in progress and refuses further ones. A response that has begun is aborted; other callers are told
+     * whether their request may have run.
+     */
+    public void endRequests() {
+        stopAdmitting();
+        List.copyOf(openRequests).forEach(forwarded -> forwarded.onProcessEnd(stoppingRefusal()));
+    }
+
+    static Refusal stoppingRefusal() {
+        return Refusal.notRun(ErrorCode.NOT_READY, "The gateway is stopping.").withRetryAfter(STOPPING_RETRY_DELAY);
     }
 
     @Override
     public Listener begin(InboundRequest request, Responder responder) {
-        if (!admitting) {
-            metrics.recordRejection(ErrorCode.NOT_READY.wireName());
-            responder.refuse(Refusal.notRun(ErrorCode.NOT_READY, "The gateway is stopping.")
-                    .withRetryAfter(STOPPING_RETRY_DELAY));
-            return RefusedRequestListener.INSTANCE;
-        }
         GatewayClock now = GatewayClock.read();
+        if (now.monotonic() >= admissionEndsAt) {
+            return refuse(stoppingRefusal(), responder);
+        }
         AdmissionResult result = requestAdmission.decide(request, configuration.view(), configuration.ageMillis(now));
         if (result instanceof Refused refused) {
             log.line(Category.FAILURE, "turned-away")
@@ -147,20 +174,42 @@
                     .with("configuration", configuration.view().configurationVersion())
                     .with("ageMs", configuration.ageMillis(now))
                     .write();
-            metrics.recordRejection(refused.refusal().code().wireName());
-            responder.refuse(refused.refusal());
-            return RefusedRequestListener.INSTANCE;
+            return refuse(refused.refusal(), responder);
         }
         Admitted admitted = (Admitted) result;
+        Demand demand = demand(request, admitted);
+        if (now.monotonic() + expectedMillis(admitted, demand) > answersEndAt) {
+            return refuse(stoppingRefusal(), responder);
+        }
         ServiceName service = admitted.service().name();
         budgets.put(service, budget(service, now.monotonic()).earn(budgetLimits()));
-        ForwardedRequest forwarded =
-                new ForwardedRequest(this, request, responder, admitted, demand(request, admitted));
-        openRequests++;
+        ForwardedRequest forwarded = new ForwardedRequest(this, request, responder, admitted, demand);
+        openRequests.add(forwarded);
         forwarded.begin();
         return forwarded;
     }
 
+    private Listener refuse(Refusal refusal, Responder responder) {
+        metrics.recordRejection(refusal.code().wireName());
+        responder.refuse(refusal);
+        return RefusedRequestListener.INSTANCE;
+    }
+
+    /**
+     * Estimates how long a request takes. A generation may outlast the target latency, which is that of its first event.
+     *
+     * @param admitted route, service and deadline of the request
+     * @param demand what the request needs from a target
+     * @return the expected time until the response is complete, in milliseconds
+     */
+    private static double expectedMillis(Admitted admitted, Demand demand) {
+        double generationMillis = admitted.service()
+                .engineCostModel()
+                .map(engine -> engine.generationMillis(demand.promptTokens(), demand.outputTokens()))
+                .orElse(0.0);
+        return Math.max(demand.targetLatencyMillis(), generationMillis);
+    }
+
     /**
      * Derives from the header fields of a request what it needs from a target. Token counts are taken into account for
      * services with model engines only; the caller's estimate can only lower the number of output tokens.
@@ -265,7 +314,7 @@
         long tookMillis = GatewayClock.now() - forwarded.request().arrivedAt();
         metrics.recordEnd(
                 forwarded.demand(), outcome, tookMillis, forwarded.framer().longestInterTokenMillis());
-        openRequests--;
+        openRequests.remove(forwarded);
     }
 
     DecisionLog decisionLog() {
