Divide the connection of a caller

The stages, the parts of error responses and the refusal of a body for which there is no room stand for themselves; the two listeners that did nothing are one. No change of behaviour.

--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
@@ -200,7 +200,7 @@
     private Listener refuse(Refusal refusal, Responder responder) {
         metrics.recordRejection(refusal.code().wireName());
         responder.refuse(refusal);
-        return RefusedRequestListener.INSTANCE;
+        return Listener.Disabled.INSTANCE;
     }
 
     /**
@@ -356,19 +356,4 @@
     TargetCatalog targets() {
         return targets;
     }
-
-    /** Listener of a request that was refused. */
-    private enum RefusedRequestListener implements Listener {
-        INSTANCE;
-
-        @Override
-        public void onDisconnect() {
-            // No work to cancel.
-        }
-
-        @Override
-        public void onWritable() {
-            // Nothing left to send.
-        }
-    }
 }
--- a/gateway/src/main/java/org/bamboohatch/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/http/CallerConnection.java
@@ -1,7 +1,6 @@
 package org.bamboohatch.gateway.http;
 
 import java.io.IOException;
-import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
@@ -14,7 +13,6 @@
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -54,11 +52,6 @@
     /** Value of {@code SO_LINGER} with which unsent bytes are sent after the connection is closed. */
     private static final int NO_RESET_ON_CLOSE = -1;
 
-    /** Retry delay for callers whose request does not fit into the buffers: the time of a typical response. */
-    private static final Duration FULL_BUFFERS_RETRY_DELAY = Duration.ofMillis(500);
-
-    private static final double MILLIS_PER_SECOND = 1_000;
-
     private final CallerServer server;
 
     /** Messages that arrived while a request was in progress. */
@@ -70,7 +63,7 @@
     /** Parts of responses that the caller has not read yet. */
     private final BufferBudget.Holder unsent;
 
-    private Stage stage = Stage.IDLE;
+    private CallerStage stage = CallerStage.IDLE;
 
     private ChannelHandlerContext context;
 
@@ -92,26 +85,6 @@
     /** The request in progress, or null. */
     private Exchange exchange;
 
-    /** What a connection is waiting for. */
-    private enum Stage {
-        /** The next request. */
-        IDLE,
-        /** The rest of a head. */
-        HEAD,
-        /** The rest of a body. */
-        BODY,
-        /** The end of the response. */
-        RESPONSE,
-        /** The caller, who has not read all of the response. */
-        FLUSHING,
-        /** Nothing, the connection is being closed. */
-        CLOSING;
-
-        private boolean isReading() {
-            return this == IDLE || this == HEAD || this == BODY;
-        }
-    }
-
     CallerConnection(CallerServer server) {
         this.server = server;
         this.unsent = server.buffers().responses().open();
@@ -123,10 +96,10 @@
 
         @Override
         public void channelRead(ChannelHandlerContext reading, Object message) {
-            if (stage == Stage.IDLE) {
-                stage = Stage.HEAD;
+            if (stage == CallerStage.IDLE) {
+                stage = CallerStage.HEAD;
                 waitingSince = GatewayClock.now();
-            } else if (stage == Stage.BODY) {
+            } else if (stage == CallerStage.BODY) {
                 waitingSince = GatewayClock.now();
             }
             reading.fireChannelRead(message);
@@ -148,7 +121,7 @@
         pipelined.clear();
         Exchange interrupted = exchange;
         exchange = null;
-        stage = Stage.CLOSING;
+        stage = CallerStage.CLOSING;
         if (interrupted != null) {
             interrupted.listener.onDisconnect();
         }
@@ -171,9 +144,9 @@
 
     @Override
     public void channelRead(ChannelHandlerContext reading, Object message) {
-        if (stage == Stage.CLOSING) {
+        if (stage == CallerStage.CLOSING) {
             ReferenceCountUtil.release(message);
-        } else if (stage == Stage.RESPONSE || stage == Stage.FLUSHING) {
+        } else if (stage == CallerStage.RESPONSE || stage == CallerStage.FLUSHING) {
             pipelined.add(message);
             if (pipelined.size() > MAX_PIPELINED_MESSAGES) {
                 reading.channel().config().setAutoRead(false);
@@ -188,7 +161,7 @@
             if (message instanceof HttpRequest request) {
                 handleHead(request);
             }
-            if (message instanceof HttpContent content && stage != Stage.CLOSING && head != null) {
+            if (message instanceof HttpContent content && stage != CallerStage.CLOSING && head != null) {
                 handleContent(content);
             }
         } finally {
@@ -201,7 +174,7 @@
             refuseMalformed(request.decoderResult().cause());
             return;
         }
-        stage = Stage.BODY;
+        stage = CallerStage.BODY;
         head = request;
         headReceivedAt = GatewayClock.now();
         waitingSince = headReceivedAt;
@@ -210,7 +183,7 @@
         if (declaredBytes > server.limits().maximumBodyBytes()) {
             refuseAndClose(ErrorCode.TOO_LARGE, "The request body is over its bound.");
         } else if (!body.fits()) {
-            refuseForFullBuffers();
+            refuseAndClose(RequestBody.noRoom());
         } else if (HttpUtil.is100ContinueExpected(request)) {
             context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
@@ -236,7 +209,7 @@
         }
         body.append(part);
         if (!body.fits()) {
-            refuseForFullBuffers();
+            refuseAndClose(RequestBody.noRoom());
         } else if (content instanceof LastHttpContent) {
             serve();
         }
@@ -244,7 +217,7 @@
 
     /** Passes the complete request to the request handler. */
     private void serve() {
-        stage = Stage.RESPONSE;
+        stage = CallerStage.RESPONSE;
         InboundRequest request =
                 new InboundRequest(head.method(), head.uri(), head.headers(), body.complete(), headReceivedAt);
         boolean chunksAllowed = head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
@@ -252,8 +225,7 @@
                 chunksAllowed && HttpUtil.isKeepAlive(head), head.method().equals(HttpMethod.HEAD), chunksAllowed);
         exchange = started;
         head = null;
-        CallerRequestHandler.Listener listener = server.begin(request, started);
-        started.listener = listener;
+        started.listener = server.begin(request, started);
     }
 
     /**
@@ -266,16 +238,11 @@
         refuseAndClose(Refusal.notRun(code, message));
     }
 
-    private void refuseForFullBuffers() {
-        refuseAndClose(Refusal.notRun(ErrorCode.OVERLOADED, "The gateway has no room for the request body.")
-                .withRetryAfter(FULL_BUFFERS_RETRY_DELAY));
-    }
-
     private void refuseAndClose(Refusal refusal) {
         boolean headOnly = head != null && head.method().equals(HttpMethod.HEAD);
         head = null;
         exchange = new Exchange(false, headOnly, false);
-        stage = Stage.RESPONSE;
+        stage = CallerStage.RESPONSE;
         server.logRejection(refusal.code());
         exchange.refuse(refusal);
     }
@@ -301,7 +268,7 @@
 
     /** Continues with the queued messages after a response, and resumes reading if none is left. */
     private void beginNextRequest() {
-        stage = Stage.IDLE;
+        stage = CallerStage.IDLE;
         waitingSince = GatewayClock.now();
         if (!handlingPipelined) {
             handlingPipelined = true;
@@ -330,12 +297,12 @@
      */
     void enforceTimeouts(CallerLimits limits, long now) {
         long waitedMillis = now - waitingSince;
-        if (stage == Stage.HEAD && waitedMillis > limits.headerTimeoutMillis()
-                || stage == Stage.BODY && waitedMillis > limits.idleTimeoutMillis()) {
+        if (stage == CallerStage.HEAD && waitedMillis > limits.headerTimeoutMillis()
+                || stage == CallerStage.BODY && waitedMillis > limits.idleTimeoutMillis()) {
             refuseAndClose(ErrorCode.REQUEST_TIMEOUT, "The request did not arrive in time.");
-        } else if (stage == Stage.IDLE && waitedMillis > limits.idleTimeoutMillis()) {
+        } else if (stage == CallerStage.IDLE && waitedMillis > limits.idleTimeoutMillis()) {
             closeIdle();
-        } else if (stage == Stage.FLUSHING) {
+        } else if (stage == CallerStage.FLUSHING) {
             enforceReading(limits, now);
         }
     }
@@ -363,7 +330,7 @@
      * @param refusal error for the caller
      */
     void refuseIncomplete(Refusal refusal) {
-        if (stage == Stage.HEAD || stage == Stage.BODY) {
+        if (stage == CallerStage.HEAD || stage == CallerStage.BODY) {
             refuseAndClose(refusal);
         }
     }
@@ -375,13 +342,13 @@
      * @param now current time, in milliseconds
      */
     void closeIfIdle(long idleMillis, long now) {
-        if (stage == Stage.IDLE && now - waitingSince >= idleMillis) {
+        if (stage == CallerStage.IDLE && now - waitingSince >= idleMillis) {
             closeIdle();
         }
     }
 
     private void closeIdle() {
-        stage = Stage.CLOSING;
+        stage = CallerStage.CLOSING;
         context.close();
     }
 
@@ -397,7 +364,7 @@
         /** Whether the caller understands chunks; otherwise a body without a length ends with the connection. */
         private final boolean chunksAllowed;
 
-        private CallerRequestHandler.Listener listener = NoOpListener.INSTANCE;
+        private CallerRequestHandler.Listener listener = CallerRequestHandler.Listener.Disabled.INSTANCE;
 
         /** Whether the connection is closed after the response. */
         private boolean closes;
@@ -468,7 +435,7 @@
             }
             exchange = null;
             releaseBody();
-            stage = Stage.FLUSHING;
+            stage = CallerStage.FLUSHING;
             waitingSince = GatewayClock.now();
             context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(written -> {
                 if (written.isSuccess()) {
@@ -479,9 +446,9 @@
 
         /** Continues once the caller's connection has taken the whole response, so that responses do not pile up. */
         private void onFlushed() {
-            if (stage == Stage.FLUSHING && closes) {
+            if (stage == CallerStage.FLUSHING && closes) {
                 closeAfterLinger();
-            } else if (stage == Stage.FLUSHING) {
+            } else if (stage == CallerStage.FLUSHING) {
                 beginNextRequest();
             }
         }
@@ -491,7 +458,7 @@
          * with unread input would reset it and could destroy the response before the caller has read it.
          */
         private void closeAfterLinger() {
-            stage = Stage.CLOSING;
+            stage = CallerStage.CLOSING;
             ChannelHandlerContext closing = context;
             closing.channel().config().setOption(ChannelOption.SO_LINGER, NO_RESET_ON_CLOSE);
             closing.executor().schedule(() -> closing.close(), LINGER_MS, TimeUnit.MILLISECONDS);
@@ -502,7 +469,7 @@
             if (isOpen()) {
                 exchange = null;
                 releaseBody();
-                stage = Stage.CLOSING;
+                stage = CallerStage.CLOSING;
                 context.flush();
                 context.close();
             }
@@ -513,13 +480,10 @@
             if (!isOpen()) {
                 return;
             }
-            byte[] text = ErrorBody.of(refusal);
-            HttpHeaders headers = new DefaultHttpHeaders();
-            headers.set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
-            refusal.retryAfter()
-                    .ifPresent(delay -> headers.set(
-                            HttpHeaderNames.RETRY_AFTER, String.valueOf(delay.toMillis() / MILLIS_PER_SECOND)));
-            head(HttpResponseStatus.valueOf(refusal.code().status()), headers, text.length);
+            byte[] text = ErrorResponse.body(refusal);
+            HttpResponseStatus status =
+                    HttpResponseStatus.valueOf(refusal.code().status());
+            head(status, ErrorResponse.headers(refusal), text.length);
             content(Unpooled.wrappedBuffer(text));
             end();
         }
@@ -534,19 +498,4 @@
             return context.channel().isActive();
         }
     }
-
-    /** Listener of an exchange that was not passed to the request handler. */
-    private enum NoOpListener implements CallerRequestHandler.Listener {
-        INSTANCE;
-
-        @Override
-        public void onDisconnect() {
-            // No work to cancel.
-        }
-
-        @Override
-        public void onWritable() {
-            // Nothing left to send.
-        }
-    }
 }
--- a/gateway/src/main/java/org/bamboohatch/gateway/http/CallerRequestHandler.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/http/CallerRequestHandler.java
@@ -20,5 +20,21 @@
 
         /** Invoked when the connection accepts more parts of the response after it was not writable. */
         void onWritable();
+
+        /** Listener of a request that was refused. */
+        enum Disabled implements Listener {
+            /** The only instance. */
+            INSTANCE;
+
+            @Override
+            public void onDisconnect() {
+                // No work to cancel.
+            }
+
+            @Override
+            public void onWritable() {
+                // Nothing left to send.
+            }
+        }
     }
 }
--- a/gateway/src/main/java/org/bamboohatch/gateway/http/RequestBody.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/http/RequestBody.java
@@ -1,9 +1,12 @@
 package org.bamboohatch.gateway.http;
 
 import java.io.ByteArrayOutputStream;
+import java.time.Duration;
 
 import io.netty.buffer.ByteBuf;
 import org.bamboohatch.gateway.buffer.BufferBudget;
+import org.bamboohatch.kernel.outcome.ErrorCode;
+import org.bamboohatch.kernel.outcome.Refusal;
 
 /** Body of a request, which is kept until the response has ended, because the request may have to be sent again. */
 final class RequestBody {
@@ -11,6 +14,9 @@
     /** Memory that a body of unknown length takes up for each of its bytes while it arrives, because its buffer doubles. */
     private static final long BYTES_FOR_BYTE = 2;
 
+    /** Retry delay for callers whose body does not fit into the buffers: the time of a typical response. */
+    private static final Duration NO_ROOM_RETRY_DELAY = Duration.ofMillis(500);
+
     private final BufferBudget.Holder held;
 
     private final long declaredBytes;
@@ -31,6 +37,16 @@
         account(declaredBytes);
     }
 
+    /**
+     * Returns the refusal of a request whose body does not fit.
+     *
+     * @return a refusal that states that the request was not run
+     */
+    static Refusal noRoom() {
+        return Refusal.notRun(ErrorCode.OVERLOADED, "The gateway has no room for the request body.")
+                .withRetryAfter(NO_ROOM_RETRY_DELAY);
+    }
+
     private void account(long bytes) {
         held.set(bytes);
         fits = !held.exceedsShare();
--- a/gateway/src/main/java/org/bamboohatch/gateway/target/TargetProbe.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/TargetProbe.java
@@ -52,7 +52,7 @@
         private final long settlingMillis;
 
         /**
-         * Creates a probe.
+         * Creates a probe that has made no connection yet.
          *
          * @param pool pool that opens the connections
          * @param loop the event loop that serves all callers
