--- a/gateway/src/main/java/org/bamboohatch/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/http/CallerConnection.java
@@ -459,9 +459,8 @@
          */
         private void closeAfterLinger() {
             stage = CallerStage.CLOSING;
-            ChannelHandlerContext closing = context;
-            closing.channel().config().setOption(ChannelOption.SO_LINGER, NO_RESET_ON_CLOSE);
-            closing.executor().schedule(() -> closing.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+            context.channel().config().setOption(ChannelOption.SO_LINGER, NO_RESET_ON_CLOSE);
+            context.executor().schedule(() -> context.close(), LINGER_MS, TimeUnit.MILLISECONDS);
         }
 
         @Override
