Compare an event's id with the last one over events without an id

A stream that was resumed and began again reached its caller with its events twice, and a last chunk: a block without an id, such as "retry: 500", made the framer forget the id before it, so that any id could follow. It now keeps the last id apart from whether the stream can be resumed after the last event, and a block with a retry delay only is no event, as the format has it. EventFramerTest failed before: the stream could not be resumed, and the repeated event passed.

--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/EventFramer.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/EventFramer.java
@@ -16,6 +16,9 @@
     /** Prefix of the line that carries an event's id. */
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
+    /** Prefix of the line with the delay after which a caller may connect again, which is no part of an event. */
+    private static final byte[] RETRY_FIELD = "retry:".getBytes(StandardCharsets.US_ASCII);
+
     /** Prefix of a line that carries no data, such as those that only keep a connection alive. */
     private static final byte COMMENT = ':';
 
@@ -39,6 +42,9 @@
     /** Id of the last complete event that has a field, or null if it has none: the stream cannot be resumed after it. */
     private String lastEventId;
 
+    /** Id of the last complete event that has one, or null. */
+    private String precedingId;
+
     /** Description of the first bytes that do not belong to the stream, or null. */
     private String violation;
 
@@ -104,7 +110,7 @@
             endEvent(now);
             return true;
         }
-        pendingField |= partialEvent.getByte(lineStart) != COMMENT;
+        pendingField |= partialEvent.getByte(lineStart) != COMMENT && !startsWith(RETRY_FIELD, end);
         if (startsWith(STATUS_LINE, end)) {
             violation = "head of another response";
         } else if (startsWith(ID_FIELD, end)) {
@@ -128,7 +134,7 @@
      */
     private void endEvent(long now) {
         if (pendingId != null && !follows(pendingId)) {
-            violation = "event that does not follow event " + lastEventId;
+            violation = "event that does not follow event " + precedingId;
             return;
         }
         if (pendingField) {
@@ -141,6 +147,7 @@
                 longestInterTokenMillis = Math.max(longestInterTokenMillis, now - lastEventAt);
             }
             lastEventAt = now;
+            precedingId = pendingId;
             pendingId = null;
             eventCount++;
         }
@@ -148,14 +155,14 @@
 
     /**
      * Indicates whether an id may come after that of the last complete event. Ids increase, also from one target to the next
-     * one; only numbers can be compared.
+     * one and over events without an id; only numbers can be compared.
      *
      * @param id id of the event
      * @return whether the event does not repeat or precede the last one
      */
     private boolean follows(String id) {
         try {
-            return lastEventId == null || Long.parseLong(id) > Long.parseLong(lastEventId);
+            return precedingId == null || Long.parseLong(id) > Long.parseLong(precedingId);
         } catch (NumberFormatException notComparable) {
             return true;
         }
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/EventFramerTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/EventFramerTest.java
@@ -71,6 +71,20 @@
         assertThat(framer.lastEventId()).contains("5");
     }
 
+    /** Guards against a stream that begins again and is joined because a block without an id stands at its beginning. */
+    @Example
+    void anEventIsOutOfOrderAlsoAfterOneWithoutAnId() {
+        EventFramer framer = new EventFramer();
+        framer.append(Unpooled.wrappedBuffer(bytes("retry: 500\n\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n")), 5);
+        assertThat(framer.lastEventId()).contains("2");
+        byte[] forwarded = framer.append(Unpooled.wrappedBuffer(bytes("retry: 500\n\nid: 1\ndata: a\n\n")), 5);
+        assertThat(new String(forwarded, StandardCharsets.UTF_8)).isEqualTo("retry: 500\n\n");
+        assertThat(framer.violation()).contains("event that does not follow event 2");
+        framer.discardPartialEvent();
+        framer.append(Unpooled.wrappedBuffer(bytes("data: c\n\nid: 2\ndata: b\n\n")), 5);
+        assertThat(framer.violation()).contains("event that does not follow event 2");
+    }
+
     @Example
     void nothingIsForwardedFromTheHeadOfAnotherResponse() {
         EventFramer framer = new EventFramer();
