Do not take a target for silent that is not read from

A caller that paused in reading a large response had it cut, or its stream sent to another target: while the caller does not take what was sent the gateway does not read from the target, and the idle timeout of the target went on. It is suspended now, and begins anew when reading goes on; the deadline stays. SlowCallerTest failed before: its response was cut after some MB.

--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardingAttempt.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardingAttempt.java
@@ -74,6 +74,9 @@
      */
     private long lastActivityAt;
 
+    /** Whether the target is not read from until the caller has taken what was sent. */
+    private boolean readingPaused;
+
     /** Time of the first event of this attempt, in milliseconds; zero before it. */
     private long firstEventAt;
 
@@ -173,6 +176,10 @@
     /** Resumes reading from the target once the caller's connection is writable again. */
     void resumeReading() {
         if (connection != null && mode != Mode.ENDED) {
+            if (readingPaused) {
+                readingPaused = false;
+                lastActivityAt = GatewayClock.now();
+            }
             connection.setAutoRead(true);
         }
     }
@@ -210,7 +217,7 @@
     private void checkIdle() {
         long now = GatewayClock.now();
         long timeoutMillis = IdleTimeout.millis(forwarded.demand(), resources.placement(), mode == Mode.EVENTS);
-        long remainingMillis = lastActivityAt + timeoutMillis - now;
+        long remainingMillis = readingPaused ? timeoutMillis : lastActivityAt + timeoutMillis - now;
         if (remainingMillis <= 0 && mode == Mode.DISCARD) {
             cancel();
             return;
@@ -366,6 +373,7 @@
     private void forward(ByteBuf part) {
         forwarded.responder().content(part);
         if (!forwarded.responder().isWritable()) {
+            readingPaused = true;
             connection.setAutoRead(false);
         }
     }
