Give back the memory of a response that is cancelled while its end is confirmed

The head of a response is accounted for until the response or its connection ends. While the end of a response without a length is confirmed, the connection has ended already, so a caller that left, a deadline or a drain gave nothing back. The account of held memory grew for good (312 bytes after two such cancels), until everything would have been refused. HttpTargetConnectionTest failed before: 156 bytes held where none should be.

--- a/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
@@ -207,6 +207,7 @@
     /** Cancels the request in progress by closing the connection, so that the target can detect the cancellation. */
     public void cancel() {
         listener = null;
+        headMemory.release();
         channel.close();
     }
 
--- a/gateway/src/test/java/org/bamboohatch/gateway/target/HttpTargetConnectionTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/target/HttpTargetConnectionTest.java
@@ -32,8 +32,10 @@
 
     private final TargetAddress address = new TargetAddress(new TargetName("target"), 1, "127.0.0.1:9");
 
-    private final TargetConnectionPool pool = new TargetConnectionPool(
-            null, "Request-Id", (target, head, requestSentAt) -> {}, new BufferBudget(1 << 20, 1));
+    private final BufferBudget budget = new BufferBudget(1 << 20, 1);
+
+    private final TargetConnectionPool pool =
+            new TargetConnectionPool(null, "Request-Id", (target, head, requestSentAt) -> {}, budget);
 
     /** Receives the result of the probe, which a test provides. */
     private Consumer<Boolean> probeResult = running -> {};
@@ -168,6 +170,7 @@
         connection.cancel();
         probeResult.accept(true);
         assertThat(events).containsExactly("200");
+        assertThat(budget.heldBytes()).isZero();
     }
 
     @Test
