Lose a request's response at once behind a late one that is cut

A target that wrote the rest of its answer behind a late response that was cut within a chunk had its request wait until its deadline: the failure of the decoder was not looked at while a late response was dropped, and nothing is decoded after it. HttpTargetConnectionTest failed before: nothing was reported.

--- a/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
@@ -349,6 +349,9 @@
         if (discarding) {
             headMemory.recordUnrelatedMessage();
             discarding = !last;
+            if (content.decoderResult().isFailure()) {
+                loseResponse(LossCause.MALFORMED);
+            }
             return;
         }
         if (content.decoderResult().isFailure()) {
--- a/gateway/src/test/java/org/bamboohatch/gateway/target/HttpTargetConnectionTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/target/HttpTargetConnectionTest.java
@@ -162,6 +162,14 @@
         assertThat(events).containsExactly("204", "complete");
     }
 
+    /** Guards against a request that waits until its deadline because its response was read as part of a late one. */
+    @Test
+    void aRequestIsLostIfALateResponseBeforeItsOwnIsCut() {
+        send();
+        receive("HTTP/1.1 200 OK\r\nRequest-Id: late\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhal" + FRAMED);
+        assertThat(events).containsExactly("lost");
+    }
+
     @Test
     void aCancelledRequestHasNoEndEvenIfItsConnectionHasEnded() {
         send();
