Ask the bytes behind a body whether a head goes on in them

A whole response was lost, and an order that had run answered as unknown, if its body ended in a letter "H" and a second response stood behind it in the same read: the letter may begin a status line, and any bytes behind it counted as the rest. They now have to match what is missing of the beginning of a status line. ResponseFramingTest failed before in its three cases (502); a head that is divided between a body and what follows is found as before.

--- a/gateway/src/main/java/org/bamboohatch/gateway/target/EmbeddedHeadDetector.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/EmbeddedHeadDetector.java
@@ -64,12 +64,27 @@
     }
 
     /**
-     * Indicates whether the body has stopped where the head of another response may have begun.
+     * Indicates whether the body has stopped within the head of another response, as far as the bytes behind it tell.
      *
-     * @return whether the latest bytes may be the beginning of a head
+     * @param following the bytes behind the body; not consumed
+     * @return whether the latest bytes of the body and those behind it may be the beginning of a head
      */
-    boolean mayBeWithinHead() {
-        return withinHead || statusLine || statusLineMatched > 0;
+    boolean isWithinHead(ByteBuf following) {
+        if (withinHead || statusLine) {
+            return following.isReadable();
+        }
+        int rest = Math.min(following.readableBytes(), STATUS_LINE.length - statusLineMatched);
+        for (int index = 0; index < rest; index++) {
+            if (!matchesStatusLine(following.getByte(following.readerIndex() + index), statusLineMatched + index)) {
+                return false;
+            }
+        }
+        return statusLineMatched > 0 && rest > 0;
+    }
+
+    private static boolean matchesStatusLine(byte next, int position) {
+        byte expected = STATUS_LINE[position];
+        return expected == '0' ? next >= '0' && next <= '9' : next == expected;
     }
 
     long examined() {
@@ -112,8 +127,7 @@
         if (statusLineMatched == STATUS_LINE.length) {
             statusLineMatched = 0;
         }
-        byte expected = STATUS_LINE[statusLineMatched];
-        boolean matches = expected == '0' ? next >= '0' && next <= '9' : next == expected;
+        boolean matches = matchesStatusLine(next, statusLineMatched);
         statusLineMatched = matches ? statusLineMatched + 1 : next == STATUS_LINE[0] ? 1 : 0;
         if (statusLineMatched == STATUS_LINE.length && !statusLine) {
             statusLine = true;
--- a/gateway/src/main/java/org/bamboohatch/gateway/target/TargetCodec.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/TargetCodec.java
@@ -108,7 +108,7 @@
                     bodyDetector = new EmbeddedHeadDetector(requestIdField);
                 }
                 if (message instanceof HttpContent content && content.content().isReadable()) {
-                    rejectJoined(content, input.isReadable(), messages);
+                    rejectJoined(content, input, messages);
                 }
             }
         }
@@ -117,14 +117,14 @@
          * Lets decoding fail where the head of another response begins, or may begin and go on behind the body.
          *
          * @param content a part of a body
-         * @param followed whether more bytes have arrived behind it
+         * @param following bytes that have arrived behind it
          * @param messages the decoded messages
          */
-        private void rejectJoined(HttpContent content, boolean followed, List<Object> messages) {
+        private void rejectJoined(HttpContent content, ByteBuf following, List<Object> messages) {
             long partStart = bodyDetector.examined();
             boolean detected = bodyDetector.append(content.content());
             boolean last = content instanceof LastHttpContent;
-            if (detected || last && followed && bodyDetector.mayBeWithinHead()) {
+            if (detected || last && bodyDetector.isWithinHead(following)) {
                 content.setDecoderResult(
                         DecoderResult.failure(new IllegalArgumentException("head of a response within a body")));
                 int soundBytes = (int) Math.max(0, bodyDetector.headStart() - partStart);
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/ResponseFramingTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/ResponseFramingTest.java
@@ -209,6 +209,22 @@
         }
     }
 
+    /** Guards against a whole response that is lost because its last letters also begin a status line. */
+    @ParameterizedTest
+    @ValueSource(strings = {"DEATH", "a link to HTTP", "see HTTP/1."})
+    void aWholeBodyIsNotJoinedToTheResponseBehindIt(String body) throws Exception {
+        FakeTarget.Script answeringTwice = (received, connection) -> {
+            write(connection, FakeTarget.answer(received.id(), body) + FakeTarget.answer(received.id(), body));
+            return false;
+        };
+        try (FakeTarget target = new FakeTarget(answeringTwice);
+                GatewayHarness gateway = new GatewayHarness(target)) {
+            assertThat(gateway.call(request("POST", "/order/x", "a1", "", "crates")))
+                    .startsWith("HTTP/1.1 200")
+                    .endsWith("\r\n\r\n" + body);
+        }
+    }
+
     /** Guards against streams whose second copy, sent late, reaches the caller as events of the first. */
     @ParameterizedTest
     @ValueSource(strings = {"id: 1\ndata: a\n\n", "id: 1\ndata: a\n\nid: 2\nda", "id: 1\ndata: a\n\nid: 2\ndata: c\n"})
