Name what a full buffer means, and correct the description of the budget

The loss cause told of a large head where the gateway itself had no room; the budget's description promised more than it does. No change of behaviour.

--- a/gateway/src/main/java/org/bamboohatch/gateway/buffer/BufferBudget.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/buffer/BufferBudget.java
@@ -1,9 +1,10 @@
 package org.bamboohatch.gateway.buffer;
 
 /**
- * Memory that the requests of a gateway share for their buffers; confined to the callers' event loop. Nobody may hold more
- * than a share of what is free. The fuller the buffers are, the less that is, so the largest holders yield first, while
- * small ones always find room.
+ * Memory that the requests of a gateway share for their buffers; confined to the callers' event loop. Nobody may let its
+ * buffers grow beyond a share of what is free. The fuller the buffers are, the less that is, so the largest holders are the
+ * first that must stop, while small ones find room until the buffers are nearly full. What a holder does then is its own
+ * decision; since it sees the excess after a read, the buffers may exceed the capacity by that much for each holder.
  */
 public final class BufferBudget {
 
@@ -29,7 +30,7 @@
     }
 
     /**
-     * Returns the size of all buffers.
+     * Returns what all holders hold together.
      *
      * @return the size in bytes
      */
--- a/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/HttpTargetConnection.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -172,12 +173,7 @@
         unrelatedBytes = 0;
         reusable = false;
         FullHttpRequest request = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1,
-                method,
-                uri,
-                Unpooled.wrappedBuffer(body),
-                headers,
-                io.netty.handler.codec.http.EmptyHttpHeaders.INSTANCE);
+                HttpVersion.HTTP_1_1, method, uri, Unpooled.wrappedBuffer(body), headers, EmptyHttpHeaders.INSTANCE);
         requestWrite = channel.writeAndFlush(request);
         requestWrite.addListener(written -> {
             if (!written.isSuccess()) {
@@ -262,7 +258,7 @@
         if (!headReceived && listener != null) {
             headMemory.recordRead(headBytes);
             if (headMemory.exceedsShare()) {
-                loseResponse(LossCause.OVERSIZED_HEAD);
+                loseResponse(LossCause.BUFFERS_FULL);
             }
         }
     }
@@ -302,7 +298,7 @@
         headReceived = true;
         headMemory.recordHead(response.headers());
         if (headMemory.exceedsShare()) {
-            loseResponse(LossCause.OVERSIZED_HEAD);
+            loseResponse(LossCause.BUFFERS_FULL);
             return;
         }
         bodyMissing = response.status().codeClass() == HttpStatusClass.SUCCESS;
--- a/gateway/src/main/java/org/bamboohatch/gateway/target/LossCause.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/LossCause.java
@@ -14,8 +14,8 @@
     MALFORMED("malformed answer", false),
     /** The target sends bytes that belong to no response, without end. */
     UNRELATED_BYTES("too many bytes that are no answer", false),
-    /** The head of the response does not fit into the buffers. */
-    OVERSIZED_HEAD("large head of an answer while buffers are full", false);
+    /** The buffers of this gateway have no room for the head of the response. */
+    BUFFERS_FULL("large head of an answer while buffers are full", false);
 
     private final String reason;
 
