Let a connection settle before it shows that a service runs

Callers got a part of a plain service's response as the whole, with status 200: the response had neither length nor chunks, and the process closed its connection some milliseconds before its port. The agent confirms such an end by another connection, and took the service to run as soon as that one was open, even if the host reset it a moment later because the process was ending.

The decision is now that of the gateway's probe, in a class of its own. A connection on which nothing is sent must stay open for 20 ms. After an end or a reset of it, before it is open or before it has settled, up to three are tried, 20 ms apart. Only a refusal shows that the process has ended; a service at its limit, which resets all three, and one that does not answer within a second, as before, count as running. The probe goes to the address that has answered, not to whatever its name resolves to by then, and no longer requests the health path. What the caller does with the result runs on the client's executor, as the scheduler's thread serves all timeouts.

PlainResponseTest: a service that closes its connection, accepts one more, keeps it for 10 ms, closes its port and resets the accepted one. Before: "200 text/plain half" instead of "failed". It fails in the same way with one try instead of three and with no time to settle. A service that resets each further connection passed before, too; it fails ("failed" instead of "200 text/plain whole") if a reset counts as the end. In both, no connection settles while the test lasts. After: all pass.

What cannot be told: a process that keeps the new connection open for longer than 20 ms while it ends.

--- a/agent/src/main/java/org/bamboohatch/agent/driver/HttpCalls.java
+++ b/agent/src/main/java/org/bamboohatch/agent/driver/HttpCalls.java
@@ -83,20 +83,6 @@
                 || HttpMethod.HEAD.is(result.getRequest().getMethod());
     }
 
-    /**
-     * Determines whether the target has ended, by a new connection.
-     *
-     * @param path path at the target that may be requested at any time
-     * @return completed with {@code true} if the connection is refused
-     */
-    CompletableFuture<Boolean> hasEnded(String path) {
-        CompletableFuture<Boolean> ended = new CompletableFuture<>();
-        newCall(path)
-                .onRequestCommit(request -> ended.complete(false))
-                .send(result -> ended.complete(result.isFailed() && !mayHaveStarted(result)));
-        return ended;
-    }
-
     /**
      * Sends a GET request.
      *
--- a/agent/src/main/java/org/bamboohatch/agent/driver/PlainDriver.java
+++ b/agent/src/main/java/org/bamboohatch/agent/driver/PlainDriver.java
@@ -1,5 +1,6 @@
 package org.bamboohatch.agent.driver;
 
+import java.net.SocketAddress;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
@@ -7,6 +8,7 @@
 import org.bamboohatch.protocol.message.ControlReply.PlacementOrder;
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpHeader;
 
@@ -21,8 +23,21 @@
     /** Media type of an answer that names none. */
     private static final String UNKNOWN_TYPE = "application/octet-stream";
 
+    private final long settlingMillis;
+
     /** Creates a driver; invoked by the service loader. */
-    public PlainDriver() {}
+    public PlainDriver() {
+        this(TargetProbe.ForConnections.SETTLING_MS);
+    }
+
+    /**
+     * Creates a driver with another settling time.
+     *
+     * @param settlingMillis time for which a connection must stay open before it shows that a service runs, in milliseconds
+     */
+    PlainDriver(long settlingMillis) {
+        this.settlingMillis = settlingMillis;
+    }
 
     @Override
     public String name() {
@@ -31,7 +46,7 @@
 
     @Override
     public Target connect(HttpClient client, String targetUrl) {
-        return new ForService(new HttpCalls(client, targetUrl));
+        return new ForService(new HttpCalls(client, targetUrl), new TargetProbe.ForConnections(client, settlingMillis));
     }
 
     /** A plain service. */
@@ -39,13 +54,24 @@
 
         private final HttpCalls calls;
 
-        ForService(HttpCalls calls) {
+        private final TargetProbe probe;
+
+        ForService(HttpCalls calls, TargetProbe probe) {
             this.calls = calls;
+            this.probe = probe;
         }
 
         @Override
         public void run(Dispatch dispatch, RunListener listener) {
             calls.newRequest(dispatch).send(new BufferingResponseListener(MAX_ANSWER_BYTES) {
+                /** Address that has answered, which is not known any more when the connection is closed. */
+                private SocketAddress address;
+
+                @Override
+                public void onBegin(Response response) {
+                    address = response.getRequest().getConnection().getRemoteSocketAddress();
+                }
+
                 @Override
                 public void onComplete(Result result) {
                     if (result.isFailed()) {
@@ -57,7 +83,7 @@
                         deliver(result);
                     } else {
                         // A process that has ended closes its connections like one that has sent everything.
-                        calls.hasEnded(HEALTH_PATH).thenAccept(ended -> {
+                        probe.hasEnded(address).thenAccept(ended -> {
                             if (ended) {
                                 listener.onFailure(true, "service ended, its response may be incomplete");
                             } else {
--- a/agent/src/test/java/org/bamboohatch/agent/driver/PlainResponseTest.java
+++ b/agent/src/test/java/org/bamboohatch/agent/driver/PlainResponseTest.java
@@ -21,6 +21,9 @@
 
     private static final long MEBIBYTE = 1024 * 1024;
 
+    /** Driver for which no connection settles while a test lasts, so that a slow machine changes no result. */
+    private static final PlainDriver NEVER_SETTLED = new PlainDriver(TimeUnit.MINUTES.toMillis(2));
+
     private final HttpClient client = new TargetHttpClient(32 * MEBIBYTE);
 
     @BeforeEach
@@ -34,9 +37,13 @@
     }
 
     private String run(String response, End end) throws Exception {
+        return run(new PlainDriver(), response, end);
+    }
+
+    private String run(PlainDriver driver, String response, End end) throws Exception {
         RecordedRun run = new RecordedRun();
         try (ScriptedTarget target = ScriptedTarget.answering(response.replace("|", "\r\n"), end)) {
-            new PlainDriver().connect(client, target.url()).run(RecordedRun.dispatch(), run);
+            driver.connect(client, target.url()).run(RecordedRun.dispatch(), run);
             return run.awaitEnd();
         }
     }
@@ -106,6 +113,20 @@
         assertThat(run(response, End.CRASH)).isEqualTo("failed ");
     }
 
+    /** Guards against a part that is taken for the whole because its process, while it ends, accepts another connection. */
+    @Test
+    void aConnectionThatDoesNotSettleIsNoSignOfAService() throws Exception {
+        assertThat(run(NEVER_SETTLED, "HTTP/1.1 200 OK|Content-Type: text/plain||half", End.LATE_CRASH))
+                .isEqualTo("failed ");
+    }
+
+    /** Guards against a whole response that is lost because its service resets connections beyond its limit. */
+    @Test
+    void aServiceAtItsLimitOfConnectionsHasNotEnded() throws Exception {
+        assertThat(run(NEVER_SETTLED, "HTTP/1.1 200 OK|Content-Type: text/plain||whole", End.LIMIT))
+                .isEqualTo("200 text/plain whole");
+    }
+
     /** Guards against a coded body that is delivered without the name of its coding. */
     @ParameterizedTest
     @ValueSource(
--- a/agent/src/test/java/org/bamboohatch/agent/driver/ScriptedTarget.java
+++ b/agent/src/test/java/org/bamboohatch/agent/driver/ScriptedTarget.java
@@ -6,6 +6,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 
@@ -36,8 +37,36 @@
                 listener.close();
                 connection.shutdownOutput();
             }
+        },
+        /** Closes the connection, accepts one more, and then ends the process, whose kernel resets the accepted one. */
+        LATE_CRASH {
+            @Override
+            void apply(ServerSocket listener, Socket connection) throws IOException {
+                connection.shutdownOutput();
+                Socket next = listener.accept();
+                try {
+                    TimeUnit.MILLISECONDS.sleep(CRASH_DELAY_MS);
+                } catch (InterruptedException unexpected) {
+                    throw new IllegalStateException(unexpected);
+                }
+                listener.close();
+                RESET.apply(listener, next);
+            }
+        },
+        /** Closes the connection and resets each further one, as at a limit of connections. */
+        LIMIT {
+            @Override
+            void apply(ServerSocket listener, Socket connection) throws IOException {
+                connection.shutdownOutput();
+                while (!listener.isClosed()) {
+                    RESET.apply(listener, listener.accept());
+                }
+            }
         };
 
+        /** Time for which a process that ends keeps its last connection, in milliseconds. */
+        private static final long CRASH_DELAY_MS = 10;
+
         abstract void apply(ServerSocket listener, Socket connection) throws IOException;
     }
 
