--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/FaultyTargets.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/FaultyTargets.java
@@ -30,7 +30,7 @@
         }
     }
 
-    /** What is wrong with a response. */
+    /** Faults of a response. */
     private enum Fault {
         NONE(SUCCESS),
         /** The connection ends within the response. */
