Record evacuations of availability zones in the quorum log

Cause: operators could not take a zone out of service before work on it; its targets got requests until they were gone.

Change: POST and DELETE /evacuations/ZONE, and `bamboohatch evacuate`, propose an order of its own type. Every reply to a poll has the whole set, also while the registry of a new leader is incomplete. An order is acknowledged once the gateways that poll apply its version, after 600 ms at the latest. A zone that the settings do not name is refused (Invalid, 404).

Storage: the version before stops at an order in the log, as it does not know the type.

Ruled out: a field of the configuration, soft state of the leader, a field beside the request of a command (docs/design/evacuation.md).

TargetRegistrationTest: one more argument of ControlSettings.

--- a/cli/src/main/java/org/bamboohatch/cli/CommandLine.java
+++ b/cli/src/main/java/org/bamboohatch/cli/CommandLine.java
@@ -5,6 +5,7 @@
 import org.bamboohatch.cli.command.Apply;
 import org.bamboohatch.cli.command.Command;
 import org.bamboohatch.cli.command.Diff;
+import org.bamboohatch.cli.command.Evacuate;
 import org.bamboohatch.cli.command.Explain;
 import org.bamboohatch.cli.command.Get;
 import org.bamboohatch.cli.command.History;
@@ -44,7 +45,7 @@
             metaVar = "COMMAND",
             required = true,
             handler = SubCommandHandler.class,
-            usage = "validate, apply, get, diff, history, status, targets, timeline, explain or verify-data")
+            usage = "validate, apply, get, diff, history, status, targets, evacuate, timeline, explain or verify-data")
     @SubCommands({
         @SubCommand(name = "validate", impl = Validate.class),
         @SubCommand(name = "apply", impl = Apply.class),
@@ -53,6 +54,7 @@
         @SubCommand(name = "history", impl = History.class),
         @SubCommand(name = "status", impl = Status.class),
         @SubCommand(name = "targets", impl = Targets.class),
+        @SubCommand(name = "evacuate", impl = Evacuate.class),
         @SubCommand(name = "timeline", impl = ShowTimeline.class),
         @SubCommand(name = "explain", impl = Explain.class),
         @SubCommand(name = "verify-data", impl = VerifyData.class)
--- a/cli/src/main/java/org/bamboohatch/cli/command/Status.java
+++ b/cli/src/main/java/org/bamboohatch/cli/command/Status.java
@@ -10,8 +10,8 @@
 import org.bamboohatch.protocol.message.ControlReply;
 
 /**
- * Prints the status of the control processes with the services, and the availability zones in which a revision is not
- * in force yet.
+ * Prints the status of the control processes with the services, the availability zones in which a revision is not in
+ * force yet, and the evacuated ones.
  */
 public final class Status implements Command {
 
@@ -38,6 +38,9 @@
             row.put("targets", status.targets().size());
             row.put("runs", status.runs());
             row.put("pending", status.pendingZones());
+            row.put(
+                    "evacuated",
+                    status.evacuated() == null ? List.of() : status.evacuated().zones());
             rows.add(row);
         }
         context.printRows(rows);
--- a/control/src/main/java/org/bamboohatch/control/ControlSettings.java
+++ b/control/src/main/java/org/bamboohatch/control/ControlSettings.java
@@ -21,6 +21,7 @@
  * @param voters desired number of voters; zero for the current number, rounded up to an odd one
  * @param snapshotEntries number of log entries after which a snapshot is taken
  * @param retentionHours time in hours for which the answer of a run is retained after its last use
+ * @param zones all availability zones, of which each may be evacuated; empty to accept any name
  */
 public record ControlSettings(
         @Setting(description = "name of the host") HostName host,
@@ -83,11 +84,17 @@
                 min = 1,
                 max = 720,
                 fallback = "24")
-        int retentionHours) {
+        int retentionHours,
 
-    /** Copies the list, so that the settings are immutable. */
+        @Setting(
+                description = "all availability zones, of which each may be evacuated; empty to accept any name",
+                fallback = "[]")
+        List<ZoneName> zones) {
+
+    /** Copies the lists, so that the settings are immutable. */
     public ControlSettings {
         peers = List.copyOf(peers);
+        zones = List.copyOf(zones);
     }
 
     /**
--- a/control/src/main/java/org/bamboohatch/control/membership/GatewayRegistry.java
+++ b/control/src/main/java/org/bamboohatch/control/membership/GatewayRegistry.java
@@ -36,9 +36,11 @@
      * @param exchangeAddress address at which the gateway receives load reports
      * @param fleetVersion version of the fleet configuration that it applies
      * @param membershipVersion version of the membership that it applies, negative if it is of another epoch
+     * @param evacuationVersion version of the evacuated zones that it applies, negative if it does not use them
      * @param polledAt monotonic time of the poll, in milliseconds
      */
-    private record Gateway(String exchangeAddress, long fleetVersion, long membershipVersion, long polledAt) {}
+    private record Gateway(
+            String exchangeAddress, long fleetVersion, long membershipVersion, long evacuationVersion, long polledAt) {}
 
     /**
      * Creates an empty registry.
@@ -64,7 +66,10 @@
         }
         long membership = poll.epoch() == epoch ? poll.version() : -1;
         gateways.values().removeIf(gateway -> now - gateway.polledAt() > RETENTION_MS);
-        gateways.put(poll.holder().value(), new Gateway(poll.exchangeAddress(), poll.fleetVersion(), membership, now));
+        long evacuation = poll.evacuationVersion() == null ? -1 : poll.evacuationVersion();
+        gateways.put(
+                poll.holder().value(),
+                new Gateway(poll.exchangeAddress(), poll.fleetVersion(), membership, evacuation, now));
     }
 
     /**
@@ -102,6 +107,19 @@
                         .allMatch(gateway -> !isLive(gateway, now) || gateway.membershipVersion() >= version);
     }
 
+    /**
+     * Indicates whether every live gateway applies a version of the evacuated zones or a later one.
+     *
+     * @param version the version
+     * @param now current monotonic time, in milliseconds
+     * @return false as well while a new leader cannot know every live gateway yet, or if a gateway does not use the zones
+     */
+    public boolean allApplyEvacuation(long version, long now) {
+        return now >= completeAt
+                && gateways.values().stream()
+                        .allMatch(gateway -> !isLive(gateway, now) || gateway.evacuationVersion() >= version);
+    }
+
     private static boolean isLive(Gateway gateway, long now) {
         return now - gateway.polledAt() <= LIVENESS_TIMEOUT_MS;
     }
--- a/control/src/main/java/org/bamboohatch/control/server/ControlServer.java
+++ b/control/src/main/java/org/bamboohatch/control/server/ControlServer.java
@@ -26,6 +26,7 @@
 import org.bamboohatch.protocol.message.ControlRequest.Announce;
 import org.bamboohatch.protocol.message.ControlRequest.ApplyDocument;
 import org.bamboohatch.protocol.message.ControlRequest.AwaitInForce;
+import org.bamboohatch.protocol.message.ControlRequest.ChangeEvacuation;
 import org.bamboohatch.protocol.message.ControlRequest.Deregister;
 import org.bamboohatch.protocol.message.ControlRequest.GetDocument;
 import org.bamboohatch.protocol.message.ControlRequest.GetEvents;
@@ -87,6 +88,8 @@
 
     private final FleetRequests fleetRequests;
 
+    private final EvacuationRequests evacuationRequests;
+
     /** Whether a leader was known at the last sweep; written on the replica's thread, read by any thread. */
     private volatile boolean ready;
 
@@ -121,6 +124,7 @@
         this.session = new LeaderSession(settings, replica, stateMachine, network);
         this.subscriberRequests = new SubscriberRequests(session, stateMachine, answers, this::planPlacement);
         this.fleetRequests = new FleetRequests(session, settings, replica, stateMachine);
+        this.evacuationRequests = new EvacuationRequests(session, settings, replica, stateMachine);
     }
 
     @Override
@@ -151,6 +155,8 @@
             propose(request, exchange);
         } else if (request instanceof ReplaceFleet replace) {
             fleetRequests.replace(replace, this::ledgerTime, exchange);
+        } else if (request instanceof ChangeEvacuation change) {
+            replica.execute(() -> evacuationRequests.change(change, this::ledgerTime, exchange));
         } else if (request instanceof Announce announce && !hasAddress(announce.announcement())
                 || request instanceof Register register && !hasAddress(register.announcement())) {
             exchange.end(new ControlReply.Invalid(List.of("the address is not a host and a port")));
@@ -354,7 +360,8 @@
                         ? List.of()
                         : session.leader()
                                 .subscribers()
-                                .pendingZones(stateMachine.documents().lastRevision(), now));
+                                .pendingZones(stateMachine.documents().lastRevision(), now),
+                stateMachine.evacuations().current());
     }
 
     private static String format(Member member) {
--- a/control/src/main/java/org/bamboohatch/control/server/SubscriberAnswers.java
+++ b/control/src/main/java/org/bamboohatch/control/server/SubscriberAnswers.java
@@ -60,11 +60,12 @@
      * @param poll the poll with the versions of the copy
      * @param leader the leader's state
      * @param now current monotonic time, in milliseconds
-     * @return whether a document, the fleet configuration or the membership is newer than the copy
+     * @return whether a document, the fleet configuration, the membership or the evacuated zones are newer than the copy
      */
     boolean hasChanges(Poll poll, LeaderState leader, long now) {
         if (stateMachine.documents().lastRevision() > poll.appliedRevision()
-                || stateMachine.fleet().version() > poll.fleetVersion()) {
+                || stateMachine.fleet().version() > poll.fleetVersion()
+                || hasLaterEvacuation(poll)) {
             return true;
         }
         boolean behind =
@@ -72,6 +73,11 @@
         return canSendMembership(poll, leader, now) && behind;
     }
 
+    /** Indicates whether the evacuated zones are newer than the copy of a subscriber that uses them. */
+    private boolean hasLaterEvacuation(Poll poll) {
+        return poll.evacuationVersion() != null && stateMachine.evacuations().version() > poll.evacuationVersion();
+    }
+
     /**
      * Indicates whether this leader's membership may replace a subscriber's copy. A copy of another epoch is kept until
      * this leader's registry is complete, as targets that have not announced themselves yet would be lost.
@@ -121,7 +127,8 @@
                     fleet,
                     gateways,
                     controls,
-                    false);
+                    false,
+                    stateMachine.evacuations().current());
         }
         TargetRegistry.Changes changes = leader.targets().changesSince(poll.epoch(), poll.version());
         return new ControlReply.Changes(
@@ -136,7 +143,8 @@
                 fleet,
                 gateways,
                 controls,
-                changes.full());
+                changes.full(),
+                stateMachine.evacuations().current());
     }
 
     /**
--- a/control/src/main/java/org/bamboohatch/control/state/ControlStateMachine.java
+++ b/control/src/main/java/org/bamboohatch/control/state/ControlStateMachine.java
@@ -9,16 +9,18 @@
 import org.bamboohatch.protocol.message.ControlRequest.AbandonRun;
 import org.bamboohatch.protocol.message.ControlRequest.ApplyDocument;
 import org.bamboohatch.protocol.message.ControlRequest.BeginRun;
+import org.bamboohatch.protocol.message.ControlRequest.ChangeEvacuation;
 import org.bamboohatch.protocol.message.ControlRequest.FinishRun;
 import org.bamboohatch.protocol.message.ControlRequest.ReplaceFleet;
+import org.bamboohatch.protocol.message.EvacuatedZones;
 import org.bamboohatch.protocol.message.FleetText;
 import org.bamboohatch.protocol.message.Message;
 import org.bamboohatch.protocol.message.MessageCodec;
 import org.bamboohatch.replication.StateMachine;
 
 /**
- * Replicated state of the control processes: the service documents, the ledger of runs, the fleet configuration and the
- * targets that have left.
+ * Replicated state of the control processes: the service documents, the ledger of runs, the fleet configuration, the
+ * targets that have left and the evacuated availability zones.
  */
 public final class ControlStateMachine implements StateMachine {
 
@@ -30,6 +32,8 @@
 
     private final DepartureStateMachine departures = new DepartureStateMachine();
 
+    private final EvacuationStateMachine evacuations = new EvacuationStateMachine();
+
     /** Notified of each departure that is applied. */
     private Consumer<TargetDeparture> departureListener = departure -> {};
 
@@ -43,12 +47,14 @@
      * @param ledger state of the ledger
      * @param fleet the fleet configuration, or null if there is none
      * @param departures the targets that have left, null in snapshots of versions that recorded none
+     * @param evacuations the evacuated zones, null before the first order
      */
     private record State(
             DocumentStateMachine.State documents,
             LedgerStateMachine.State ledger,
             FleetText fleet,
-            List<DepartureStateMachine.Recorded> departures) {}
+            List<DepartureStateMachine.Recorded> departures,
+            EvacuatedZones evacuations) {}
 
     /**
      * Encodes a command for the log.
@@ -88,6 +94,8 @@
             return ledger.finish(finish);
         } else if (request instanceof ReplaceFleet replace) {
             return fleet.replace(replace);
+        } else if (request instanceof ChangeEvacuation change) {
+            return evacuations.change(change);
         } else if (request instanceof Command.Evict evict) {
             ledger.evict(evict.before());
             return null;
@@ -97,8 +105,10 @@
 
     @Override
     public byte[] snapshot() {
-        return MessageCodec.instance()
-                .encode(new State(documents.state(), ledger.state(), fleet.current(), departures.state()));
+        EvacuatedZones evacuated = evacuations.state();
+        byte[] encoded = MessageCodec.instance()
+                .encode(new State(documents.state(), ledger.state(), fleet.current(), departures.state(), evacuated));
+        return evacuated == null ? encoded : SnapshotFormat.mark(encoded);
     }
 
     @Override
@@ -108,12 +118,14 @@
                         new DocumentStateMachine.State(0, List.of(), List.of()),
                         new LedgerStateMachine.State(0, List.of()),
                         null,
-                        List.of())
-                : decode(state, State.class);
+                        List.of(),
+                        null)
+                : decode(SnapshotFormat.unmark(state), State.class);
         documents.restore(decoded.documents());
         ledger.restore(decoded.ledger());
         fleet.restore(decoded.fleet());
         departures.restore(decoded.departures());
+        evacuations.restore(decoded.evacuations());
     }
 
     /**
@@ -137,6 +149,10 @@
         return departures;
     }
 
+    public EvacuationStateMachine evacuations() {
+        return evacuations;
+    }
+
     public LedgerStateMachine ledger() {
         return ledger;
     }
--- a/control/src/test/java/org/bamboohatch/control/membership/GatewayRegistryTest.java
+++ b/control/src/test/java/org/bamboohatch/control/membership/GatewayRegistryTest.java
@@ -43,6 +43,25 @@
         assertThat(gateways.allApplyMembership(6, 1_200)).isTrue();
     }
 
+    private static Poll evacuationPoll(String host, Long evacuationVersion) {
+        return new Poll(
+                new HostName(host), new ZoneName("zone-a"), 0, EPOCH, 5, 10, "127.0.0.1:1", false, evacuationVersion);
+    }
+
+    /** Gateways of an earlier version do not apply evacuations, so they must not count as doing so. */
+    @Test
+    void evacuationIsConfirmedOnlyByAllLiveGateways() {
+        gateways.update(evacuationPoll("a", 40L), 1_000);
+        gateways.update(evacuationPoll("b", 39L), 1_000);
+        assertThat(gateways.allApplyEvacuation(40, 1_100)).isFalse();
+        gateways.update(evacuationPoll("b", 41L), 1_100);
+        assertThat(gateways.allApplyEvacuation(40, 1_100)).isTrue();
+        gateways.update(evacuationPoll("earlier", null), 1_100);
+        assertThat(gateways.allApplyEvacuation(40, 1_200)).isFalse();
+        assertThat(new GatewayRegistry(EPOCH, 0).allApplyEvacuation(0, GatewayRegistry.DISCOVERY_MS - 1))
+                .isFalse();
+    }
+
     @Test
     void gatewayWithoutPollsIsNotWaitedFor() {
         gateways.update(poll("a", 5, 9), 1_000);
--- a/control/src/test/java/org/bamboohatch/control/server/SubscriberAnswersTest.java
+++ b/control/src/test/java/org/bamboohatch/control/server/SubscriberAnswersTest.java
@@ -2,13 +2,16 @@
 
 import java.util.List;
 
+import org.bamboohatch.control.state.Command;
 import org.bamboohatch.control.state.ControlStateMachine;
 import org.bamboohatch.kernel.id.HostName;
 import org.bamboohatch.kernel.id.ServiceName;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.id.ZoneName;
 import org.bamboohatch.protocol.message.ControlReply;
+import org.bamboohatch.protocol.message.ControlRequest;
 import org.bamboohatch.protocol.message.ControlRequest.Poll;
+import org.bamboohatch.protocol.message.EvacuatedZones;
 import org.bamboohatch.protocol.message.TargetAnnouncement;
 import org.junit.jupiter.api.Test;
 
@@ -18,7 +21,11 @@
 
     private static final long TERM = 3;
 
-    private final SubscriberAnswers answers = new SubscriberAnswers(new ControlStateMachine());
+    private static final ZoneName EVACUATED = new ZoneName("zone-b");
+
+    private final ControlStateMachine stateMachine = new ControlStateMachine();
+
+    private final SubscriberAnswers answers = new SubscriberAnswers(stateMachine);
 
     private final LeaderState leader = new LeaderState(TERM, List.of(), 0, 0);
 
@@ -73,6 +80,56 @@
                 1);
     }
 
+    private static Poll poll(long epoch, Long evacuationVersion) {
+        Poll poll = poll(epoch);
+        return new Poll(
+                poll.holder(),
+                poll.zone(),
+                poll.appliedRevision(),
+                poll.epoch(),
+                poll.version(),
+                poll.fleetVersion(),
+                poll.exchangeAddress(),
+                poll.urgent(),
+                evacuationVersion);
+    }
+
+    private void evacuate(long wallTime) {
+        stateMachine.apply(
+                1,
+                ControlStateMachine.encode(
+                        new Command(1, new ControlRequest.ChangeEvacuation(EVACUATED, true, wallTime))));
+    }
+
+    private EvacuatedZones evacuated(Poll poll, long now) {
+        return ((ControlReply.Changes) answers.changes(poll, leader, List.of(), now)).evacuated();
+    }
+
+    /** A gateway that starts beside a new leader would otherwise send to evacuated targets until the registry is complete. */
+    @Test
+    void everyReplyHasAllEvacuatedZonesAlsoWhileTheRegistryIsIncomplete() {
+        assertThat(evacuated(poll(0, 0L), 200)).isEqualTo(EvacuatedZones.NONE);
+        evacuate(50);
+        EvacuatedZones expected = EvacuatedZones.of(50, List.of(EVACUATED));
+        assertThat(evacuated(poll(TERM - 1, 0L), 200)).isEqualTo(expected);
+        assertThat(evacuated(poll(TERM, 50L), 60_000)).isEqualTo(expected);
+        assertThat(evacuated(poll(TERM), 60_000)).isEqualTo(expected);
+    }
+
+    @Test
+    void aChangeOfTheEvacuatedZonesEndsTheHoldOfAPoll() {
+        evacuate(50);
+        assertThat(answers.hasChanges(poll(TERM, 49L), leader, 200)).isTrue();
+        assertThat(answers.hasChanges(poll(TERM, 50L), leader, 200)).isFalse();
+    }
+
+    /** A gateway of an earlier version can never apply the set, so replies at once would make it poll without a pause. */
+    @Test
+    void pollsOfEarlierVersionsAreHeldAlthoughTheyDoNotApplyTheEvacuatedZones() {
+        evacuate(50);
+        assertThat(answers.hasChanges(poll(TERM), leader, 200)).isFalse();
+    }
+
     @Test
     void pollIsHeldForFullTimeOnceMembershipCanBeSent() {
         assertThat(answers.holdMillis(poll(0), leader, 60_000)).isEqualTo(500);
--- a/control/src/test/java/org/bamboohatch/control/server/TargetRegistrationTest.java
+++ b/control/src/test/java/org/bamboohatch/control/server/TargetRegistrationTest.java
@@ -124,7 +124,8 @@
                 true,
                 1,
                 10_000,
-                1);
+                1,
+                List.of());
         ControlStateMachine stateMachine = new ControlStateMachine();
         replica = new ReplicaService(
                 new ReplicaSettings(
--- a/protocol/src/main/java/org/bamboohatch/protocol/message/ControlReply.java
+++ b/protocol/src/main/java/org/bamboohatch/protocol/message/ControlReply.java
@@ -134,6 +134,8 @@
      * @param controls addresses of the control processes
      * @param whole whether {@code joined} is the complete membership although the epoch is the subscriber's, because
      *     departures that the subscriber missed are no longer known; missing in replies of older control processes
+     * @param evacuated all evacuated zones, also while the registry of a new leader is incomplete; {@code null} in
+     *     replies of older control processes, which leaves the subscriber's copy as it is
      */
     record Changes(
             long revision,
@@ -147,8 +149,62 @@
             FleetText fleet,
             List<String> gateways,
             List<String> controls,
-            boolean whole)
-            implements ControlReply {}
+            boolean whole,
+            EvacuatedZones evacuated)
+            implements ControlReply {
+
+        /**
+         * Creates a reply without the evacuated zones, as that of an older control process.
+         *
+         * @param revision the latest configuration revision
+         * @param documents service documents that changed
+         * @param epoch epoch of the target membership
+         * @param version version of the target membership within its epoch
+         * @param joined targets that joined or changed
+         * @param departed targets that left or whose lease expired
+         * @param ledgerTime current ledger time, in milliseconds
+         * @param entries number of entries that admit requests
+         * @param fleet the fleet configuration if the subscriber's copy is older, otherwise {@code null}
+         * @param gateways addresses at which the gateways receive load reports
+         * @param controls addresses of the control processes
+         * @param whole whether {@code joined} is the complete membership although the epoch is the subscriber's
+         */
+        public Changes(
+                long revision,
+                List<DocumentVersion> documents,
+                long epoch,
+                long version,
+                List<TargetAnnouncement> joined,
+                List<TargetName> departed,
+                long ledgerTime,
+                int entries,
+                FleetText fleet,
+                List<String> gateways,
+                List<String> controls,
+                boolean whole) {
+            this(
+                    revision,
+                    documents,
+                    epoch,
+                    version,
+                    joined,
+                    departed,
+                    ledgerTime,
+                    entries,
+                    fleet,
+                    gateways,
+                    controls,
+                    whole,
+                    null);
+        }
+    }
+
+    /**
+     * Confirms that an order to evacuate a zone, or to end its evacuation, is committed.
+     *
+     * @param evacuated the evacuated zones that are in effect after the order
+     */
+    record EvacuationChanged(EvacuatedZones evacuated) implements ControlReply {}
 
     /**
      * Reports the outcome of a proposal of a fleet configuration.
@@ -187,6 +243,7 @@
      * @param targets the targets with a lease
      * @param runs number of records in the ledger
      * @param pendingZones availability zones that have not confirmed the latest revision
+     * @param evacuated the evacuated zones that the replica knows; {@code null} in replies of older control processes
      */
     record Status(
             String replica,
@@ -200,7 +257,8 @@
             List<ServiceRevision> services,
             List<TargetAnnouncement> targets,
             int runs,
-            List<ZoneName> pendingZones)
+            List<ZoneName> pendingZones,
+            EvacuatedZones evacuated)
             implements ControlReply {}
 
     /**
--- a/protocol/src/main/java/org/bamboohatch/protocol/message/ControlRequest.java
+++ b/protocol/src/main/java/org/bamboohatch/protocol/message/ControlRequest.java
@@ -99,6 +99,8 @@
      *     string for none
      * @param urgent whether the subscriber needs to prove that its copy is fresh, so that the reply is not delayed until
      *     there are changes
+     * @param evacuationVersion version of the evacuated zones that the subscriber has applied; {@code null} if it uses
+     *     none, as in polls of earlier versions
      */
     record Poll(
             HostName holder,
@@ -108,9 +110,35 @@
             long version,
             long fleetVersion,
             String exchangeAddress,
-            boolean urgent)
+            boolean urgent,
+            Long evacuationVersion)
             implements ControlRequest {
 
+        /**
+         * Creates the poll of a subscriber that does not use the evacuated zones.
+         *
+         * @param holder host of the subscriber
+         * @param zone availability zone of the subscriber
+         * @param appliedRevision the configuration revision that the subscriber has applied
+         * @param epoch epoch of the subscriber's copy of the target membership
+         * @param version version of the subscriber's copy of the target membership
+         * @param fleetVersion version of the fleet configuration that the subscriber has applied
+         * @param exchangeAddress address at which the subscriber receives load reports of other gateways, or an empty
+         *     string for none
+         * @param urgent whether the reply is not delayed until there are changes
+         */
+        public Poll(
+                HostName holder,
+                ZoneName zone,
+                long appliedRevision,
+                long epoch,
+                long version,
+                long fleetVersion,
+                String exchangeAddress,
+                boolean urgent) {
+            this(holder, zone, appliedRevision, epoch, version, fleetVersion, exchangeAddress, urgent, null);
+        }
+
         /**
          * Creates the poll of a subscriber that uses neither the fleet configuration nor load reports.
          *
@@ -148,6 +176,17 @@
      */
     record Deregister(TargetName target, long wallTime) implements ControlRequest {}
 
+    /**
+     * Evacuates an availability zone, so that gateways send nothing new to its targets, or ends the evacuation. A
+     * repeated order changes nothing.
+     *
+     * @param zone the zone
+     * @param evacuated whether the zone is to be evacuated, false to end its evacuation
+     * @param wallTime wall-clock time at which the operator's call was received, in Unix milliseconds; a lower bound of
+     *     the version of the set that the order creates
+     */
+    record ChangeEvacuation(ZoneName zone, boolean evacuated, long wallTime) implements ControlRequest {}
+
     /** Requests the current fleet configuration. */
     record GetFleet() implements ControlRequest {}
 
