Send nothing new to evacuated availability zones

Cause: gateways did not use the evacuated zones that control tells.

Change: the set is part of FleetView; a lower version or a reply without it leaves the copy as it is, and polls report the version. TargetCatalog leaves targets of these zones out of all candidates, ejected ones included. Requests without another target are refused as not run. Each gateway logs `evacuation` and has the gauge gateway_evacuated_zones.

A target that is no longer a member counts as evacuated while any zone is: a request may have been placed there before, and its zone is not known.

GatewayHarness announces targets in given zones; zone-a as before without.

--- a/gateway/src/main/java/org/bamboohatch/gateway/GatewayProgram.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/GatewayProgram.java
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoop;
 import org.bamboohatch.document.fleet.CallerLimits;
 import org.bamboohatch.gateway.buffer.GatewayBuffers;
+import org.bamboohatch.gateway.configuration.EvacuationObserver;
 import org.bamboohatch.gateway.configuration.FleetStore;
 import org.bamboohatch.gateway.configuration.FleetView;
 import org.bamboohatch.gateway.configuration.RouteTable;
@@ -43,6 +44,8 @@
 
     private final ReadinessServer readiness;
 
+    private final EvacuationObserver evacuations = new EvacuationObserver();
+
     private volatile boolean stopping;
 
     /**
@@ -95,6 +98,10 @@
                 "gateway.quarantined",
                 "prompt parts and requests that are kept from targets",
                 forwarder::quarantinedTraits);
+        metrics.registerGauge(
+                "gateway.evacuated.zones",
+                "availability zones to whose targets nothing new is sent",
+                evacuations::evacuatedZones);
         metrics.registerGauge("gateway.targets", "targets that take work", () -> store.view()
                 .targets()
                 .size());
@@ -127,6 +134,7 @@
 
     private void apply(FleetView view) {
         forwarder.apply(view);
+        evacuations.accept(view);
         exchange.apply(view.gateways());
     }
 
--- a/gateway/src/main/java/org/bamboohatch/gateway/configuration/FleetStore.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/configuration/FleetStore.java
@@ -176,7 +176,8 @@
                 copy.version(),
                 copy.configurationVersion(),
                 settings.exchange(),
-                urgent);
+                urgent,
+                copy.evacuatedZones().version());
     }
 
     /**
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/AttemptDispatcher.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/AttemptDispatcher.java
@@ -174,6 +174,33 @@
                 .collect(Collectors.joining(","));
     }
 
+    /**
+     * Indicates whether an attempt may still be sent, as its targets may have changed since it was placed.
+     *
+     * @param resources the targets of the attempt
+     * @param now current time, in milliseconds
+     * @return whether the target accepts requests and no helper is in an evacuated zone
+     */
+    boolean maySend(AttemptResources resources, long now) {
+        return targets.acceptsRequests(resources.target(), now) && !hasEvacuatedHelper(resources);
+    }
+
+    private boolean hasEvacuatedHelper(AttemptResources resources) {
+        return resources.placement().prefillHelpers().stream().anyMatch(targets::isEvacuated);
+    }
+
+    /**
+     * Returns the target that is excluded from further placements of a request whose attempt was not sent.
+     *
+     * @param resources the targets of the attempt
+     * @return the target, empty if a helper was evacuated: the target stays a candidate, as it may be the only one
+     */
+    Optional<TargetName> unsuitableTarget(AttemptResources resources) {
+        return hasEvacuatedHelper(resources)
+                ? Optional.empty()
+                : Optional.of(resources.target().target());
+    }
+
     /**
      * Indicates whether the service has a target that is not excluded.
      *
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardedRequest.java
@@ -201,15 +201,15 @@
 
     /**
      * Sends the request, unless it has become pointless since it was placed. After a stall of the process, the caller may
-     * have disconnected, the deadline may have passed, the target may have asked for no more requests, or the request
-     * may have been found to end targets.
+     * have disconnected, the deadline may have passed, the target may have asked for no more requests, its zone or that of
+     * a helper may have been evacuated, or the request may have been found to end targets.
      *
      * @param attempt the attempt; may have been cancelled meanwhile
      * @param connection the open connection to the target
      */
     private void send(ForwardingAttempt attempt, HttpTargetConnection connection) {
         long now = GatewayClock.now();
-        boolean accepted = forwarder.targets().acceptsRequests(attempt.target(), now) && monitor.isAdmitted(now);
+        boolean accepted = forwarder.dispatcher().maySend(attempt.resources(), now) && monitor.isAdmitted(now);
         if (attempt.isEnded() || !responder.isConnected() || now >= admitted.deadline() || !accepted) {
             forwarder.pool().returnUnused(connection, now);
             withdraw(attempt, now);
@@ -248,7 +248,7 @@
         } else if (now >= admitted.deadline()) {
             giveUp(now, "deadline passed");
         } else {
-            history.exclude(attempt.target().target());
+            forwarder.dispatcher().unsuitableTarget(attempt.resources()).ifPresent(history::exclude);
             sendToNextTarget();
         }
     }
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/MemoryCommandSender.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/MemoryCommandSender.java
@@ -1,6 +1,7 @@
 package org.bamboohatch.gateway.forward;
 
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
@@ -62,24 +63,38 @@
     @Override
     public void reserve(Allocation allocation, String name, long leaseMillis, Consumer<Reply> onReply) {
         byte[] command = dialect.memory().reserve(name, allocation.tokens(), leaseMillis);
-        send("reserve", allocation, name, command, onReply);
+        send("reserve", allocation, name, command, () -> !targets.isEvacuated(allocation.engine()), onReply);
+    }
+
+    @Override
+    public void renew(Allocation allocation, String name, long leaseMillis, Consumer<Reply> onReply) {
+        byte[] command = dialect.memory().reserve(name, allocation.tokens(), leaseMillis);
+        send("reserve", allocation, name, command, () -> true, onReply);
     }
 
     @Override
     public void release(Allocation allocation, String name, Consumer<Reply> onReply) {
-        send("release", allocation, name, dialect.memory().release(name), onReply);
+        send("release", allocation, name, dialect.memory().release(name), () -> true, onReply);
     }
 
     /**
-     * Sends a memory command. An engine that is no longer a member counts as refusing it.
+     * Sends a memory command. An engine that is no longer a member, or to which the command may not be sent once the
+     * connection is open, counts as refusing it.
      *
      * @param operation event name in the decision log
      * @param allocation the engine and the size of the memory
      * @param name name of the reservation
      * @param body body of the command
+     * @param mayBeSent whether the command may be sent, evaluated right before that
      * @param onReply invoked once; receives {@link Reply#UNANSWERED} if the connection fails or the timeout expires
      */
-    private void send(String operation, Allocation allocation, String name, byte[] body, Consumer<Reply> onReply) {
+    private void send(
+            String operation,
+            Allocation allocation,
+            String name,
+            byte[] body,
+            BooleanSupplier mayBeSent,
+            Consumer<Reply> onReply) {
         if (!targets.isKnown(allocation.engine())) {
             onReply.accept(Reply.REFUSED);
             return;
@@ -101,6 +116,9 @@
                 command.finish(Reply.UNANSWERED);
             } else if (command.finished) {
                 pool.returnUnused(connection, GatewayClock.now());
+            } else if (!mayBeSent.getAsBoolean()) {
+                pool.returnUnused(connection, GatewayClock.now());
+                command.finish(Reply.REFUSED);
             } else {
                 command.connection = connection;
                 connection.send(HttpMethod.POST, dialect.memory().path(), headers(target, body), body, command);
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/MemoryReservation.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/MemoryReservation.java
@@ -54,7 +54,7 @@
     interface CommandSender {
 
         /**
-         * Reserves memory at an engine, or renews the lease of memory that is reserved.
+         * Reserves memory at an engine.
          *
          * @param allocation the engine and the size of the memory
          * @param name name of the reservation
@@ -63,6 +63,18 @@
          */
         void reserve(Allocation allocation, String name, long leaseMillis, Consumer<Reply> onReply);
 
+        /**
+         * Renews the lease of memory that is reserved.
+         *
+         * @param allocation the engine and the size of the memory
+         * @param name name of the reservation
+         * @param leaseMillis lease, in milliseconds
+         * @param onReply invoked with the reply
+         */
+        default void renew(Allocation allocation, String name, long leaseMillis, Consumer<Reply> onReply) {
+            reserve(allocation, name, leaseMillis, onReply);
+        }
+
         /**
          * Releases memory at an engine.
          *
@@ -171,7 +183,7 @@
             return;
         }
         for (EngineMemory engine : engines) {
-            commands.reserve(engine.allocation, name, leaseMillis, reply -> onRenewed(engine, reply));
+            commands.renew(engine.allocation, name, leaseMillis, reply -> onRenewed(engine, reply));
         }
         scheduler.schedule(renewalIntervalMillis(), this::renew);
     }
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetCatalog.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetCatalog.java
@@ -117,8 +117,8 @@
     }
 
     /**
-     * Returns the targets that a request may be sent to. Those that are leaving, paused or at their limit are omitted; ejected ones are
-     * omitted unless all others are ejected too.
+     * Returns the targets that a request may be sent to. Those that are leaving, paused, at their limit or in an evacuated
+     * zone are omitted; ejected ones are omitted unless all others are ejected too.
      *
      * @param service the service of the request
      * @param excluded targets that are not considered
@@ -177,14 +177,28 @@
     }
 
     /**
-     * Indicates whether a target accepts new requests, as far as it has told.
+     * Indicates whether a target accepts new requests, as far as it has told, and its zone is not evacuated.
      *
      * @param address address of the target
      * @param now current time, in milliseconds
-     * @return whether it is neither leaving nor paused, and its limit allows a request
+     * @return whether it is neither leaving nor paused nor evacuated, and its limit allows a request
      */
     boolean acceptsRequests(TargetAddress address, long now) {
-        return !isLeaving(address) && acceptsRequestsAt(address, now) <= now;
+        return !isEvacuated(address.target()) && !isLeaving(address) && acceptsRequestsAt(address, now) <= now;
+    }
+
+    /**
+     * Indicates whether nothing new may be sent to a target because its availability zone is evacuated.
+     *
+     * @param name name of the target
+     * @return true as well for a target that is no longer a member while any zone is evacuated, as its zone is not known
+     */
+    boolean isEvacuated(TargetName name) {
+        if (view.evacuatedZones().zones().isEmpty()) {
+            return false;
+        }
+        TargetAnnouncement target = view.targets().get(name);
+        return target == null || view.evacuatedZones().contains(target.zone());
     }
 
     /**
@@ -203,16 +217,17 @@
     }
 
     /**
-     * Returns the time until a target of a service accepts requests, if all that are not leaving are paused or limited.
+     * Returns the time until a target of a service accepts requests, if all that are neither leaving nor evacuated are
+     * paused or limited.
      *
      * @param service the service
      * @param now current time, in milliseconds
-     * @return the shortest time in milliseconds, empty if a target accepts requests or all are leaving
+     * @return the shortest time in milliseconds, empty if a target accepts requests or all are leaving or evacuated
      */
     OptionalLong shortestPauseMillis(ServiceName service, long now) {
         OptionalLong shortest = view.targetsOf(service).stream()
                 .map(TargetCatalog::address)
-                .filter(address -> !leaving.contains(address))
+                .filter(address -> !leaving.contains(address) && !isEvacuated(address.target()))
                 .mapToLong(address -> acceptsRequestsAt(address, now) - now)
                 .min();
         return shortest.isPresent() && shortest.getAsLong() > 0 ? shortest : OptionalLong.empty();
--- a/gateway/src/test/java/org/bamboohatch/gateway/configuration/FleetStoreTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/configuration/FleetStoreTest.java
@@ -14,6 +14,7 @@
 import org.bamboohatch.protocol.client.ControlClient;
 import org.bamboohatch.protocol.message.ControlReply.Changes;
 import org.bamboohatch.protocol.message.ControlRequest.Poll;
+import org.bamboohatch.protocol.message.EvacuatedZones;
 import org.bamboohatch.protocol.message.Message;
 import org.bamboohatch.protocol.transport.Exchange;
 import org.bamboohatch.protocol.transport.FrameServer;
@@ -125,6 +126,20 @@
         nextPoll(false).reply();
     }
 
+    /** Control acknowledges an order to operators once the polls of all gateways report its version. */
+    @Test
+    void pollsReportTheVersionOfTheEvacuatedZones() throws Exception {
+        store.start();
+        PendingPoll first = nextPoll(false);
+        assertThat(first.poll().evacuationVersion()).isZero();
+        EvacuatedZones evacuated = EvacuatedZones.of(7, List.of(new ZoneName("zone-b")));
+        first.exchange()
+                .end(new Changes(
+                        0, List.of(), 1, 1, List.of(), List.of(), 0, 0, null, List.of(), List.of(), false, evacuated));
+        assertThat(nextPoll(false).poll().evacuationVersion()).isEqualTo(7);
+        assertThat(store.view().evacuatedZones()).isEqualTo(evacuated);
+    }
+
     private PendingPoll nextPoll(boolean urgent) throws InterruptedException {
         while (true) {
             PendingPoll poll = polls.poll(10, TimeUnit.SECONDS);
--- a/gateway/src/test/java/org/bamboohatch/gateway/configuration/FleetViewTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/configuration/FleetViewTest.java
@@ -8,6 +8,7 @@
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.id.ZoneName;
 import org.bamboohatch.protocol.message.ControlReply.Changes;
+import org.bamboohatch.protocol.message.EvacuatedZones;
 import org.bamboohatch.protocol.message.TargetAnnouncement;
 import org.junit.jupiter.api.Test;
 
@@ -61,6 +62,34 @@
         assertThat(complete.targets().keySet()).containsExactly(new TargetName("c"));
     }
 
+    private static Changes withEvacuated(EvacuatedZones evacuated) {
+        return new Changes(
+                0, List.of(), 3, 1, List.of(), List.of(), 0, 0, null, List.of(), List.of(), false, evacuated);
+    }
+
+    /** An urgent poll and a regular one, or two leaders, may be answered in another order than they decided. */
+    @Test
+    void anOlderReplyDoesNotUndoANewerSetOfEvacuatedZones() {
+        EvacuatedZones first = EvacuatedZones.of(7, List.of(new ZoneName("zone")));
+        EvacuatedZones second = EvacuatedZones.of(8, List.of());
+        FleetView view = apply(FleetView.EMPTY, withEvacuated(first));
+        assertThat(view.evacuatedZones()).isEqualTo(first);
+        assertThat(apply(view, withEvacuated(EvacuatedZones.NONE)).evacuatedZones())
+                .isEqualTo(first);
+        FleetView ended = apply(view, withEvacuated(second));
+        assertThat(ended.evacuatedZones()).isEqualTo(second);
+        assertThat(apply(ended, withEvacuated(first)).evacuatedZones()).isEqualTo(second);
+    }
+
+    /** Guards against an order that ends because a control process of an earlier version leads. */
+    @Test
+    void aReplyOfAnOlderControlProcessLeavesTheEvacuatedZones() {
+        EvacuatedZones evacuated = EvacuatedZones.of(7, List.of(new ZoneName("zone")));
+        FleetView view = apply(FleetView.EMPTY, withEvacuated(evacuated));
+        FleetView next = apply(view, changes(4, 2, List.of(target("c")), List.of()));
+        assertThat(next.evacuatedZones()).isEqualTo(evacuated);
+    }
+
     /** A copy that was cut off for longer than departures are retained would keep targets that left meanwhile. */
     @Test
     void aWholeMembershipOfTheSameEpochReplacesTheCopy() {
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
@@ -49,6 +49,7 @@
 import org.bamboohatch.kernel.id.ServiceName;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.id.ZoneName;
+import org.bamboohatch.protocol.message.EvacuatedZones;
 import org.bamboohatch.protocol.message.TargetAnnouncement;
 
 /** The request path of a gateway in one process, with a configuration and membership that the test provides. */
@@ -79,6 +80,11 @@
     /** Incarnation of the targets that are announced next. */
     volatile long incarnation = 1;
 
+    /** Availability zones of the targets that are announced next, by their number; zone-a for all others. */
+    volatile List<String> zones = List.of();
+
+    private volatile EvacuatedZones evacuated = EvacuatedZones.NONE;
+
     /** Time for which the process stalls after the arrival of the next request, in milliseconds. */
     private final AtomicLong nextStallMillis = new AtomicLong();
 
@@ -136,17 +142,34 @@
     void applyAddresses(List<String> addresses) throws Exception {
         Map<TargetName, TargetAnnouncement> announcements = new HashMap<>();
         for (int number = 0; number < addresses.size(); number++) {
-            announce(announcements, SERVICE, new TargetName("target-" + number), addresses.get(number));
-            announce(announcements, ENGINES, new TargetName("engine-" + number), addresses.get(number));
+            ZoneName zone = new ZoneName(number < zones.size() ? zones.get(number) : "zone-a");
+            announce(announcements, SERVICE, new TargetName("target-" + number), addresses.get(number), zone);
+            announce(announcements, ENGINES, new TargetName("engine-" + number), addresses.get(number), zone);
         }
-        view = new FleetView(Optional.of(new RouteTable(configuration())), 1, 1, announcements, List.of());
+        apply(announcements);
+    }
+
+    private void apply(Map<TargetName, TargetAnnouncement> announcements) throws Exception {
+        Optional<RouteTable> routeTable = Optional.of(new RouteTable(configuration()));
+        view = new FleetView(routeTable, 1, 1, announcements, List.of(), evacuated);
         loop.submit(() -> forwarder.apply(view)).sync();
     }
 
+    /** Evacuates exactly the given availability zones. */
+    void evacuate(String... evacuatedZones) throws Exception {
+        evacuated = EvacuatedZones.of(
+                evacuated.version() + 1,
+                Arrays.stream(evacuatedZones).map(ZoneName::new).toList());
+        apply(view.targets());
+    }
+
     private void announce(
-            Map<TargetName, TargetAnnouncement> announcements, ServiceName service, TargetName name, String address) {
+            Map<TargetName, TargetAnnouncement> announcements,
+            ServiceName service,
+            TargetName name,
+            String address,
+            ZoneName zone) {
         HostName host = new HostName("host");
-        ZoneName zone = new ZoneName("zone-a");
         announcements.put(
                 name,
                 new TargetAnnouncement(name, service, host, zone, address, incarnation, List.of(), 0, 4, false, 1));
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/TargetCatalogTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/TargetCatalogTest.java
@@ -16,6 +16,7 @@
 import org.bamboohatch.kernel.id.ServiceName;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.id.ZoneName;
+import org.bamboohatch.protocol.message.EvacuatedZones;
 import org.bamboohatch.protocol.message.TargetAnnouncement;
 import org.bamboohatch.routing.quarantine.RequestQuarantine;
 import org.junit.jupiter.api.BeforeEach;
@@ -41,6 +42,10 @@
 
     @BeforeEach
     void announceTarget() {
+        apply(EvacuatedZones.NONE, true);
+    }
+
+    private void apply(EvacuatedZones evacuated, boolean member) {
         TargetAnnouncement announcement = new TargetAnnouncement(
                 TARGET.target(),
                 SERVICE,
@@ -53,7 +58,8 @@
                 4,
                 false,
                 1);
-        catalog.apply(new FleetView(Optional.empty(), 1, 1, Map.of(TARGET.target(), announcement), List.of()), 0);
+        Map<TargetName, TargetAnnouncement> members = member ? Map.of(TARGET.target(), announcement) : Map.of();
+        catalog.apply(new FleetView(Optional.empty(), 1, 1, members, List.of(), evacuated), 0);
     }
 
     private boolean hasCandidate(long now) {
@@ -97,4 +103,46 @@
         assertThat(catalog.shortestPauseMillis(SERVICE, sendAt)).isPresent();
         assertThat(hasCandidate(sendAt + 1_001)).isTrue();
     }
+
+    /** Nothing is sent to an evacuated zone, not even if it has the only targets; that is what an ejection permits. */
+    @Test
+    void aTargetInAnEvacuatedZoneIsNoCandidateAlthoughItIsTheOnlyOne() {
+        apply(EvacuatedZones.of(1, List.of(new ZoneName("zone-a"))), true);
+        assertThat(hasCandidate(0)).isFalse();
+        assertThat(catalog.candidates(SERVICE, Set.of(), 0)).isEmpty();
+        assertThat(catalog.acceptsRequests(TARGET, 0)).isFalse();
+        assertThat(catalog.isKnown(TARGET.target())).as("its requests continue").isTrue();
+        apply(EvacuatedZones.of(2, List.of(new ZoneName("zone-b"))), true);
+        assertThat(hasCandidate(0)).isTrue();
+        assertThat(catalog.acceptsRequests(TARGET, 0)).isTrue();
+    }
+
+    /** A half-open trial after an ejection is a request like any other. */
+    @Test
+    void anEjectedTargetInAnEvacuatedZoneIsNotTried() {
+        for (int failure = 0; failure < 3; failure++) {
+            catalog.recordFailure(TARGET, 0);
+        }
+        apply(EvacuatedZones.of(1, List.of(new ZoneName("zone-a"))), true);
+        assertThat(hasCandidate(0)).isFalse();
+        assertThat(hasCandidate(600_000)).isFalse();
+    }
+
+    /** Callers would otherwise be told to come back when a pause ends in a zone that takes no requests. */
+    @Test
+    void aPauseInAnEvacuatedZoneTellsNothingAboutTheReturn() {
+        catalog.recordPauseRequest(TARGET, 2_000, 100);
+        assertThat(catalog.shortestPauseMillis(SERVICE, 100)).isPresent();
+        apply(EvacuatedZones.of(1, List.of(new ZoneName("zone-a"))), true);
+        assertThat(catalog.shortestPauseMillis(SERVICE, 100)).isEmpty();
+    }
+
+    /** The lease of a target may end between the placement and the send of a request, and its zone is evacuated. */
+    @Test
+    void aTargetThatIsNoLongerAMemberGetsNothingWhileAZoneIsEvacuated() {
+        apply(EvacuatedZones.NONE, false);
+        assertThat(catalog.acceptsRequests(TARGET, 0)).isTrue();
+        apply(EvacuatedZones.of(1, List.of(new ZoneName("zone-a"))), false);
+        assertThat(catalog.acceptsRequests(TARGET, 0)).isFalse();
+    }
 }
