--- a/control/src/main/java/org/bamboohatch/control/server/SubscriberAnswers.java
+++ b/control/src/main/java/org/bamboohatch/control/server/SubscriberAnswers.java
@@ -73,7 +73,12 @@
         return canSendMembership(poll, leader, now) && behind;
     }
 
-    /** Indicates whether the evacuated zones are newer than the copy of a subscriber that uses them. */
+    /**
+     * Indicates whether the evacuated zones are newer than a subscriber's copy.
+     *
+     * @param poll the poll with the version of the copy
+     * @return false as well if the subscriber does not use the zones
+     */
     private boolean hasLaterEvacuation(Poll poll) {
         return poll.evacuationVersion() != null && stateMachine.evacuations().version() > poll.evacuationVersion();
     }
--- a/protocol/src/main/java/org/bamboohatch/protocol/message/EvacuatedZones.java
+++ b/protocol/src/main/java/org/bamboohatch/protocol/message/EvacuatedZones.java
@@ -22,10 +22,10 @@
     }
 
     /**
-     * Creates a set.
+     * Creates a set from zones in any order.
      *
      * @param version number of the set
-     * @param zones the evacuated zones, in any order
+     * @param zones the evacuated zones
      * @return the set
      */
     public static EvacuatedZones of(long version, Collection<ZoneName> zones) {
