Test that an order before the connection is open stops reservations and requests

Cause: no test covered the check of a first memory reservation right before it is sent: with the check removed, all tests of EvacuatedZoneTest passed.

Change: the test gateway can evacuate zones between the placement of a request and the opening of its connections; two tests use this, one for reservations and one for a plain request.

Test: EvacuatedZoneTest passes; with the check of reservations removed, noMemoryIsReservedIfTheZoneIsEvacuatedBeforeTheConnectionIsOpen fails with two reservations sent.

--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/EvacuatedZoneTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/EvacuatedZoneTest.java
@@ -253,6 +253,37 @@
         }
     }
 
+    /** The order arrives while the connections for the reservations are being opened. */
+    @Test
+    void noMemoryIsReservedIfTheZoneIsEvacuatedBeforeTheConnectionIsOpen() throws Exception {
+        try (FakeTarget first = new FakeTarget(EvacuatedZoneTest::serve);
+                FakeTarget second = new FakeTarget(EvacuatedZoneTest::serve);
+                FakeTarget third = new FakeTarget(EvacuatedZoneTest::serve);
+                GatewayHarness gateway = new GatewayHarness(first, second, third)) {
+            gateway.evacuateAfterPlacement("zone-a");
+            assertThat(gateway.call(request("POST", "/generate/x", "a1", OVERSIZED_PROMPT, "prompt")))
+                    .startsWith("HTTP/1.1 503")
+                    .contains("not-run");
+            assertThat(reservations(first) + reservations(second) + reservations(third))
+                    .isZero();
+            assertThat(prompts(first, second, third)).isEmpty();
+        }
+    }
+
+    /** The order arrives while the connection for the request is being opened. */
+    @Test
+    void aRequestIsNotSentIfTheZoneOfItsTargetIsEvacuatedBeforeTheConnectionIsOpen() throws Exception {
+        try (FakeTarget first = new FakeTarget(EvacuatedZoneTest::serve);
+                FakeTarget second = new FakeTarget(EvacuatedZoneTest::serve);
+                GatewayHarness gateway = new GatewayHarness(first, second)) {
+            gateway.evacuateAfterPlacement("zone-a");
+            assertThat(gateway.call(request("POST", "/order/x", "a1", "", "crates")))
+                    .startsWith("HTTP/1.1 503")
+                    .contains("not-run");
+            assertThat(prompts(first, second)).isEmpty();
+        }
+    }
+
     /** A prompt that runs would otherwise lose the parts that evacuated engines hold for it. */
     @Test
     void memoryThatARunningPromptHoldsInAnEvacuatedZoneIsRenewedAndReleased() throws Exception {
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
@@ -88,6 +89,9 @@
     /** Time for which the process stalls after the arrival of the next request, in milliseconds. */
     private final AtomicLong nextStallMillis = new AtomicLong();
 
+    /** Run by the event loop between the arrival of the next request and its placement. */
+    private final AtomicReference<Runnable> atNextArrival = new AtomicReference<>(() -> {});
+
     private final EventLoop loop;
 
     private final int port;
@@ -157,10 +161,22 @@
 
     /** Evacuates exactly the given availability zones. */
     void evacuate(String... evacuatedZones) throws Exception {
-        evacuated = EvacuatedZones.of(
+        evacuated = nextEvacuation(evacuatedZones);
+        apply(view.targets());
+    }
+
+    private EvacuatedZones nextEvacuation(String... evacuatedZones) {
+        return EvacuatedZones.of(
                 evacuated.version() + 1,
                 Arrays.stream(evacuatedZones).map(ZoneName::new).toList());
-        apply(view.targets());
+    }
+
+    /** Evacuates the given zones after the placement of the next request and before a connection for it is open. */
+    void evacuateAfterPlacement(String... evacuatedZones) {
+        FleetView next =
+                new FleetView(view.routeTable(), 1, 1, view.targets(), List.of(), nextEvacuation(evacuatedZones));
+        // Connections are opened by tasks, which run after this one.
+        atNextArrival.set(() -> loop.execute(() -> forwarder.apply(next)));
     }
 
     private void announce(
@@ -255,6 +271,9 @@
         if (stallMillis > 0) {
             LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(stallMillis));
         }
+        if (loop != null && loop.inEventLoop()) {
+            atNextArrival.getAndSet(() -> {}).run();
+        }
         return view;
     }
 
