Pass the cold time of targets from their announcement to gateways

Cause: a target that has started or recovered says for how long it is cold, but the field was only checked for its type. Gateways could not know that a target takes few requests.

Change: the announcement has coldMillis; control adds the time since it heard it when it answers a poll. A cold time that counts down is no change of the membership; one that begins anew, ends early, or drifts by more than 250 ms is. The configuration of a service has cold_start_s and cold_per_s; the dialect names the header field.

Existing tests pass the current time to TargetRegistry.changesSince, which has a new argument.

--- a/control/src/main/java/org/bamboohatch/control/membership/TargetRegistry.java
+++ b/control/src/main/java/org/bamboohatch/control/membership/TargetRegistry.java
@@ -23,6 +23,12 @@
     /** Time after the last renewal for which a departed target is retained, in milliseconds. */
     static final long TOMBSTONE_RETENTION_MS = 600_000;
 
+    /**
+     * Difference between the ends of two announced cold times from which on they are different cold times, in milliseconds.
+     * Below it, the difference may be due to the delay of an announcement on its way.
+     */
+    private static final long COLD_TOLERANCE_MS = 250;
+
     /** Maximum difference between the clocks of two hosts, in milliseconds. */
     private static final long CLOCK_TOLERANCE_MS = 1_000;
 
@@ -51,8 +57,24 @@
      * @param renewedAt monotonic time of the last renewal, in milliseconds
      * @param version version of the registry at the last change of the target
      * @param departed whether the target has left, was deregistered or replaced, or let its lease expire
+     * @param coldUntil monotonic end of the cold time at the last change of the target, in milliseconds
      */
-    private record Lease(TargetAnnouncement announcement, long renewedAt, long version, boolean departed) {
+    private record Lease(
+            TargetAnnouncement announcement, long renewedAt, long version, boolean departed, long coldUntil) {
+
+        Lease end(long endVersion) {
+            return new Lease(announcement, renewedAt, endVersion, true, coldUntil);
+        }
+
+        /**
+         * Indicates whether an announcement means another cold time than the last change of the target, rather than the
+         * same one that has counted down.
+         */
+        boolean changesColdTime(TargetAnnouncement renewed, long now) {
+            long renewedUntil = TargetRegistry.coldUntil(renewed, now);
+            boolean eitherCold = Math.max(coldUntil, renewedUntil) > now;
+            return eitherCold && Math.abs(Math.max(coldUntil, now) - renewedUntil) > COLD_TOLERANCE_MS;
+        }
 
         boolean hasExpired(long now) {
             return now - renewedAt > LEASE_MS;
@@ -139,15 +161,21 @@
         }
         boolean changed = known == null
                 || known.departed() != announcement.leaving()
-                || !known.announcement().equalsIgnoringSequence(announcement);
+                || !known.announcement().equalsIgnoringSequence(announcement)
+                || known.changesColdTime(announcement, now);
         if (changed) {
             version++;
         }
         long changedAt = changed ? version : known.version();
-        leases.put(announcement.target(), new Lease(announcement, now, changedAt, announcement.leaving()));
+        long coldUntil = changed ? coldUntil(announcement, now) : known.coldUntil();
+        leases.put(announcement.target(), new Lease(announcement, now, changedAt, announcement.leaving(), coldUntil));
         return changed;
     }
 
+    private static long coldUntil(TargetAnnouncement announcement, long now) {
+        return now + (announcement.coldMillis() == null ? 0 : Math.max(0, announcement.coldMillis()));
+    }
+
     /**
      * Indicates whether an announcement was sent before the latest one of its target. An earlier incarnation is
      * accepted only for a departed target and without a sequence number.
@@ -204,7 +232,7 @@
             }
             if (sameAddress && !entry.getValue().departed()) {
                 version++;
-                entry.setValue(new Lease(other, entry.getValue().renewedAt(), version, true));
+                entry.setValue(entry.getValue().end(version));
             }
         }
         return false;
@@ -244,7 +272,7 @@
             return false;
         }
         version++;
-        leases.put(departure.target(), new Lease(lease.announcement(), lease.renewedAt(), version, true));
+        leases.put(departure.target(), lease.end(version));
         return true;
     }
 
@@ -260,7 +288,7 @@
             Lease lease = entry.getValue();
             if (!lease.departed() && lease.hasExpired(now)) {
                 version++;
-                entry.setValue(new Lease(lease.announcement(), lease.renewedAt(), version, true));
+                entry.setValue(lease.end(version));
                 changed = true;
             }
         }
@@ -280,17 +308,18 @@
      *
      * @param copyEpoch epoch of the copy
      * @param copyVersion version of the copy
+     * @param now current monotonic time, in milliseconds
      * @return the changes, or the full membership if the copy is of another epoch or misses departures that are no
      *     longer retained
      */
-    public Changes changesSince(long copyEpoch, long copyVersion) {
+    public Changes changesSince(long copyEpoch, long copyVersion, long now) {
         boolean full = copyEpoch != epoch || copyVersion < prunedVersion;
         long since = full ? -1 : copyVersion;
         List<TargetAnnouncement> joined = new ArrayList<>();
         List<TargetName> departed = new ArrayList<>();
         leases.forEach((name, lease) -> {
             if (lease.version() > since && !lease.departed()) {
-                joined.add(lease.announcement());
+                joined.add(lease.announcement().withColdAge(Math.max(0, now - lease.renewedAt())));
             } else if (lease.version() > since && !full) {
                 departed.add(name);
             }
--- a/control/src/main/java/org/bamboohatch/control/server/SubscriberAnswers.java
+++ b/control/src/main/java/org/bamboohatch/control/server/SubscriberAnswers.java
@@ -108,7 +108,7 @@
             // The registry is incomplete: the targets known so far are added to the subscriber's copy, which keeps
             // its epoch and thereby its other targets.
             TargetRegistry.Changes partial =
-                    leader.targets().changesSince(leader.targets().epoch(), 0);
+                    leader.targets().changesSince(leader.targets().epoch(), 0, now);
             return new ControlReply.Changes(
                     revision,
                     documents,
@@ -123,7 +123,7 @@
                     controls,
                     false);
         }
-        TargetRegistry.Changes changes = leader.targets().changesSince(poll.epoch(), poll.version());
+        TargetRegistry.Changes changes = leader.targets().changesSince(poll.epoch(), poll.version(), now);
         return new ControlReply.Changes(
                 revision,
                 documents,
--- a/control/src/test/java/org/bamboohatch/control/membership/TargetRegistryTest.java
+++ b/control/src/test/java/org/bamboohatch/control/membership/TargetRegistryTest.java
@@ -38,9 +38,9 @@
     @Test
     void leavingTargetIsReportedAsDeparted() {
         registry.announce(target("a", 1, false), 0);
-        long before = registry.changesSince(5, 0).version();
+        long before = registry.changesSince(5, 0, 0).version();
         registry.announce(target("a", 1, true), 100);
-        assertThat(registry.changesSince(5, before).departed()).containsExactly(new TargetName("a"));
+        assertThat(registry.changesSince(5, before, 0).departed()).containsExactly(new TargetName("a"));
     }
 
     @Test
@@ -70,7 +70,7 @@
     void copyOfAnotherEpochGetsFullMembership() {
         registry.announce(target("a", 1, false), 0);
         registry.announce(target("b", 1, true), 0);
-        TargetRegistry.Changes changes = registry.changesSince(4, 100);
+        TargetRegistry.Changes changes = registry.changesSince(4, 100, 0);
         assertThat(changes.full()).isTrue();
         assertThat(changes.joined()).hasSize(1);
         assertThat(changes.departed()).isEmpty();
@@ -79,10 +79,10 @@
     @Test
     void copyOlderThanRetainedDeparturesGetsFullMembership() {
         registry.announce(target("a", 1, false), 0);
-        long copy = registry.changesSince(5, 0).version();
+        long copy = registry.changesSince(5, 0, 0).version();
         registry.sweep(TargetRegistry.LEASE_MS + 1);
         registry.sweep(TargetRegistry.LEASE_MS + TargetRegistry.TOMBSTONE_RETENTION_MS);
-        assertThat(registry.changesSince(5, copy).full()).isTrue();
+        assertThat(registry.changesSince(5, copy, 0).full()).isTrue();
     }
 
     @Test
@@ -161,4 +161,55 @@
         registry.announce(targetWithSequence("sound", "127.0.0.1:1", 100, 7, false), 11 + TargetRegistry.LEASE_MS);
         assertThat(registry.live()).extracting(TargetAnnouncement::target).containsExactly(new TargetName("sound"));
     }
+
+    private static TargetAnnouncement coldFor(long millis) {
+        return target("a", 1, false).withColdMillis(millis);
+    }
+
+    /** Targets announce themselves every second; a change each time would reach every gateway. */
+    @Test
+    void aColdTimeThatCountsDownIsNotAChange() {
+        registry.announce(coldFor(5_000), 0);
+        assertThat(registry.announce(coldFor(3_800), 1_200)).isFalse();
+        assertThat(registry.announce(coldFor(2_500), 2_400))
+                .as("delayed by 100 ms less")
+                .isFalse();
+        assertThat(registry.announce(coldFor(0), 5_100)).isFalse();
+        assertThat(registry.announce(coldFor(0), 7_000)).isFalse();
+    }
+
+    /** Small differences must not add up over many announcements. */
+    @Test
+    void aColdTimeThatCountsDownTooSlowlyIsAChangeInTheEnd() {
+        registry.announce(coldFor(5_000), 0);
+        assertThat(registry.announce(coldFor(4_200), 1_000)).isFalse();
+        assertThat(registry.announce(coldFor(3_400), 2_000)).isTrue();
+    }
+
+    @Test
+    void aTargetThatBecomesColdAgainIsAChange() {
+        registry.announce(coldFor(0), 0);
+        long copy = registry.version();
+        assertThat(registry.announce(coldFor(4_000), 1_000)).isTrue();
+        TargetAnnouncement told = registry.changesSince(5, copy, 1_300).joined().get(0);
+        assertThat(told.coldMillis()).isEqualTo(4_000);
+        assertThat(told.coldAgeMillis()).isEqualTo(300);
+    }
+
+    @Test
+    void aColdTimeThatEndsEarlyIsAChange() {
+        registry.announce(coldFor(5_000), 0);
+        assertThat(registry.announce(coldFor(0), 2_000)).isTrue();
+        assertThat(registry.announce(coldFor(0), 3_000)).isFalse();
+    }
+
+    /** Targets of a build that says nothing of a cold state. */
+    @Test
+    void anAnnouncementWithoutAColdTimeIsPassedOnAsItIs() {
+        registry.announce(target("a", 1, false), 0);
+        assertThat(registry.announce(target("a", 1, false), 1_000)).isFalse();
+        TargetAnnouncement told = registry.changesSince(5, 0, 1_500).joined().get(0);
+        assertThat(told.coldMillis()).isNull();
+        assertThat(told.coldAgeMillis()).isNull();
+    }
 }
--- a/control/src/test/java/org/bamboohatch/control/state/DepartureStateMachineTest.java
+++ b/control/src/test/java/org/bamboohatch/control/state/DepartureStateMachineTest.java
@@ -73,7 +73,7 @@
         registry.announce(announcement(100, 6, false), 10);
         record(TargetDeparture.of(announcement(100, 7, true)), 1);
         assertThat(registry.live()).isEmpty();
-        assertThat(registry.changesSince(6, 1).departed()).containsExactly(TARGET);
+        assertThat(registry.changesSince(6, 1, 0).departed()).containsExactly(TARGET);
     }
 
     @Test
--- a/document/src/main/java/org/bamboohatch/document/fleet/FleetConfiguration.java
+++ b/document/src/main/java/org/bamboohatch/document/fleet/FleetConfiguration.java
@@ -49,6 +49,11 @@
                 problems.add("route " + route.name() + ": another route has the same host and path prefix");
             }
         }
+        for (FleetService service : services) {
+            if (service.coldStartMillis() < 0 || service.coldPerSecond() < 0) {
+                problems.add("service " + service.name() + ": the cold time and the cold rate must not be negative");
+            }
+        }
         Set<String> keys = new HashSet<>();
         for (FleetAccount account : accounts.orElse(List.of())) {
             for (String key : new HashSet<>(account.keys())) {
--- a/gateway/src/main/java/org/bamboohatch/gateway/Dialect.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/Dialect.java
@@ -23,6 +23,7 @@
  * @param leaving present in responses of targets that are about to end
  * @param rateLimit number of requests a second, possibly with a fraction, that the target takes from all gateways together;
  *     sent in each response for as long as the limit holds
+ * @param cold time for which the target is still cold, in milliseconds; zero if it is cold no longer
  * @param memory format of the commands that reserve memory of engines
  */
 public record Dialect(
@@ -42,6 +43,7 @@
         String failedTarget,
         String leaving,
         String rateLimit,
+        String cold,
         MemoryDialect memory) {
 
     /** The names in a standalone installation. */
@@ -62,5 +64,6 @@
             "Faulty-Target",
             "Target-Leaving",
             "Target-Limit",
+            "Target-Cold-Ms",
             MemoryDialect.Default.INSTANCE);
 }
