Hold the rate of cold targets over all gateways

Cause: a target that has just started looks idle, so that every gateway prefers it.

Ruled out: the intervals with which gateways keep to a named limit (RateShare). They begin independently of each other; 30 processes at a rate of 4 send more than 6 in some second (ColdScheduleTest).

Change: ColdTargets holds the cold time of each incarnation, from announcements, header fields, incarnations that are new to a known service, and load reports. TargetLimits applies the lower one of a named limit and the cold rate. The cold time is divided into slots, counted from its end, which all gateways know without a common clock; rendezvous hashing gives each slot to one gateway. Memory commands take a slot as well. Nothing is kept or sent unless a service names cold_per_s. New metrics gateway.cold and gateway.held.off, log events cold and warm.

GatewayLoadTest covers the new field of load reports as well.

--- a/gateway/src/main/java/org/bamboohatch/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/GatewayMetrics.java
@@ -4,6 +4,7 @@
 import java.util.function.Supplier;
 
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
@@ -119,6 +120,21 @@
         Gauge.builder(name, value).description(description).register(registry);
     }
 
+    /**
+     * Registers a counter that is kept elsewhere.
+     *
+     * @param name name of the metric
+     * @param description description of the metric
+     * @param reason value of the reason label
+     * @param value returns the current value, which never decreases
+     */
+    public void registerCounter(String name, String description, String reason, Supplier<Number> value) {
+        FunctionCounter.builder(name, value, supplier -> supplier.get().doubleValue())
+                .description(description)
+                .tag("reason", reason)
+                .register(registry);
+    }
+
     /**
      * Returns the length label of a request.
      *
--- a/gateway/src/main/java/org/bamboohatch/gateway/GatewayProgram.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/GatewayProgram.java
@@ -95,6 +95,9 @@
                 "gateway.quarantined",
                 "prompt parts and requests that are kept from targets",
                 forwarder::quarantinedTraits);
+        metrics.registerGauge("gateway.cold", "targets whose rate is limited as they are cold", forwarder::coldTargets);
+        metrics.registerCounter(
+                "gateway.held.off", "placements that left out a target", "cold", forwarder::heldOffByCold);
         metrics.registerGauge("gateway.targets", "targets that take work", () -> store.view()
                 .targets()
                 .size());
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/AttemptDispatcher.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/AttemptDispatcher.java
@@ -19,6 +19,7 @@
 import org.bamboohatch.gateway.target.TargetConnectionPool;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.log.DecisionLog;
+import org.bamboohatch.routing.fleet.Candidate;
 import org.bamboohatch.routing.fleet.Demand;
 import org.bamboohatch.routing.fleet.Placement;
 import org.bamboohatch.routing.fleet.Placement.Allocation;
@@ -103,8 +104,9 @@
     Optional<AttemptResources> place(Admitted admitted, Demand demand, Set<TargetName> excluded, long now) {
         Optional<EngineCostModel> engine =
                 demand.isGeneration() ? admitted.service().engineCostModel() : Optional.empty();
-        return PlacementPolicy.PREDICTED
-                .place(demand, targets.candidates(admitted.service().name(), excluded, now), engine)
+        List<Candidate> candidates = targets.candidates(admitted.service().name(), excluded, now);
+        return ColdHelpers.placeWithout(
+                        PlacementPolicy.PREDICTED, demand, candidates, engine, target -> targets.isCold(target, now))
                 .map(placement -> occupy(placement, demand, engine, now));
     }
 
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
@@ -23,6 +23,7 @@
 import org.bamboohatch.gateway.http.InboundRequest;
 import org.bamboohatch.gateway.http.Responder;
 import org.bamboohatch.gateway.load.ExchangedState;
+import org.bamboohatch.gateway.target.ColdTargets;
 import org.bamboohatch.gateway.target.TargetAddress;
 import org.bamboohatch.gateway.target.TargetConnectionPool;
 import org.bamboohatch.kernel.id.ServiceName;
@@ -59,6 +60,8 @@
 
     private final RequestQuarantine quarantine;
 
+    private final ColdTargets coldTargets;
+
     /** Retry budgets by service. */
     private final Map<ServiceName, SharedRetryBudget> budgets = new HashMap<>();
 
@@ -104,6 +107,7 @@
         this.loop = loop;
         this.configuration = configuration;
         this.requestAdmission = new RequestAdmission(dialect, settings.freshnessMillis());
+        this.coldTargets = state.coldTargets();
         this.targets = new TargetCatalog(settings.host(), settings.zone(), state);
         this.pool = new TargetConnectionPool(
                 loop, dialect.requestId(), new TargetNotices(dialect, targets, log), buffers.responses());
@@ -139,6 +143,24 @@
         return quarantine.size();
     }
 
+    /**
+     * Returns the number of targets whose rate is limited because they are cold.
+     *
+     * @return the number as of the last placement
+     */
+    public int coldTargets() {
+        return coldTargets.size();
+    }
+
+    /**
+     * Returns the number of placements that left out a cold target because of its rate.
+     *
+     * @return the number since the start of the process
+     */
+    public long heldOffByCold() {
+        return coldTargets.heldOff();
+    }
+
     /** Refuses all further requests, because the end of the process could cut off their responses. */
     public void stopAdmitting() {
         admissionEndsAt = Long.MIN_VALUE;
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/MemoryCommandSender.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/MemoryCommandSender.java
@@ -71,7 +71,8 @@
     }
 
     /**
-     * Sends a memory command. An engine that is no longer a member counts as refusing it.
+     * Sends a memory command. An engine that is no longer a member counts as refusing it. One that is cold gets
+     * it only if this gateway's share of its rate allows.
      *
      * @param operation event name in the decision log
      * @param allocation the engine and the size of the memory
@@ -85,6 +86,13 @@
             return;
         }
         TargetAddress target = targets.find(allocation.engine());
+        long now = GatewayClock.now();
+        if (targets.isCold(allocation.engine(), now) && !targets.acquireCommand(target, now)) {
+            // A cold engine counts commands like requests. Unless a later one fits its rate, its lease ends the
+            // reservation.
+            onReply.accept(Reply.UNANSWERED);
+            return;
+        }
         PendingCommand command = new PendingCommand(reply -> {
             Category category = reply == Reply.DONE ? Category.ROUTINE : Category.FAILURE;
             log.line(category, operation)
@@ -96,7 +104,7 @@
             onReply.accept(reply);
         });
         command.timeout = loop.schedule(command::onTimeout, COMMAND_TIMEOUT_MS, TimeUnit.MILLISECONDS);
-        pool.acquire(target, true, false, COMMAND_TIMEOUT_MS, GatewayClock.now(), connection -> {
+        pool.acquire(target, true, false, COMMAND_TIMEOUT_MS, now, connection -> {
             if (connection == null) {
                 command.finish(Reply.UNANSWERED);
             } else if (command.finished) {
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetCatalog.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetCatalog.java
@@ -14,6 +14,7 @@
 import org.bamboohatch.gateway.configuration.FleetView;
 import org.bamboohatch.gateway.load.ExchangedState;
 import org.bamboohatch.gateway.load.LoadTracker;
+import org.bamboohatch.gateway.target.ColdTargets;
 import org.bamboohatch.gateway.target.LeavingTargets;
 import org.bamboohatch.gateway.target.TargetAddress;
 import org.bamboohatch.gateway.target.TargetLimits;
@@ -24,6 +25,7 @@
 import org.bamboohatch.kernel.id.ZoneName;
 import org.bamboohatch.protocol.message.TargetAnnouncement;
 import org.bamboohatch.routing.fleet.Candidate;
+import org.bamboohatch.routing.retry.ColdPeriod;
 import org.bamboohatch.routing.retry.TargetHealth;
 
 /** The known targets, their load and their availability; confined to the callers' event loop. */
@@ -45,6 +47,10 @@
 
     private final TargetPauses pauses;
 
+    private final ColdTargets cold;
+
+    private final TargetWarmUp warmUp;
+
     /** Observed health by address; the address includes the incarnation, so a restarted target starts anew. */
     private final Map<TargetAddress, TargetHealth> health = new HashMap<>();
 
@@ -74,6 +80,8 @@
         this.leaving = state.leavingTargets();
         this.pauses = state.pauses();
         this.limits = state.limits();
+        this.cold = state.coldTargets();
+        this.warmUp = new TargetWarmUp(cold);
     }
 
     /**
@@ -85,6 +93,7 @@
      */
     Set<TargetAddress> apply(FleetView nextView, long now) {
         view = nextView;
+        warmUp.apply(nextView, now);
         Set<TargetAddress> present = new HashSet<>();
         members.clear();
         for (TargetAnnouncement target : nextView.targets().values()) {
@@ -126,8 +135,10 @@
      * @return the candidates for placement
      */
     List<Candidate> candidates(ServiceName service, Set<TargetName> excluded, long now) {
+        cold.expire(now);
         List<KnownTarget> all = members.getOrDefault(service, List.of()).stream()
-                .filter(member -> mayBeSentTo(member, excluded, now))
+                .filter(member -> !excluded.contains(member.target().target()))
+                .filter(member -> isCandidate(member, now))
                 .toList();
         List<KnownTarget> preferred = all.stream()
                 .filter(member -> health.getOrDefault(member.address(), TargetHealth.HEALTHY)
@@ -153,6 +164,20 @@
         return !excluded.contains(member.target().target()) && acceptsRequests(member.address(), now);
     }
 
+    /**
+     * Indicates whether a target accepts new requests, and counts those that cold targets are spared.
+     *
+     * @param member a target that is not excluded
+     * @param now current time, in milliseconds
+     */
+    private boolean isCandidate(KnownTarget member, long now) {
+        boolean accepted = acceptsRequests(member.address(), now);
+        if (!accepted) {
+            cold.countIfHeldOff(member.address().toIncarnation(), now);
+        }
+        return accepted;
+    }
+
     private Candidate toCandidate(KnownTarget candidate, long now) {
         TargetAnnouncement target = candidate.target();
         return new Candidate(
@@ -264,6 +289,43 @@
         return limits.recordNoLimit(target.toIncarnation(), requestSentAt, now);
     }
 
+    /**
+     * Records how long a target is still cold, as it states in a response.
+     *
+     * @param target address of the target
+     * @param millis time in milliseconds, zero if it is cold no longer
+     * @param now current time, in milliseconds
+     */
+    void recordCold(TargetAddress target, long millis, long now) {
+        cold.record(target.toIncarnation(), ColdPeriod.of(millis, now), now);
+    }
+
+    /**
+     * Indicates whether a target is cold, so that it takes a limited rate of requests.
+     *
+     * @param name name of a target
+     * @param now current time, in milliseconds
+     * @return whether it is known and cold
+     */
+    boolean isCold(TargetName name, long now) {
+        return isKnown(name) && cold.isCold(find(name).toIncarnation(), now);
+    }
+
+    /**
+     * Takes this gateway's share in the rate of a cold target for a memory command.
+     *
+     * @param target address of the target
+     * @param now current time, in milliseconds
+     * @return whether the command may be sent; always if the target is not cold
+     */
+    boolean acquireCommand(TargetAddress target, long now) {
+        if (limits.coldSendAt(target.toIncarnation(), now) > now) {
+            return false;
+        }
+        limits.recordCommand(target.toIncarnation(), now);
+        return true;
+    }
+
     void recordDispatch(TargetAddress target, long now) {
         limits.recordSend(target.toIncarnation(), now);
         updateHealth(target, health -> health.afterDispatch(now));
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetNotices.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetNotices.java
@@ -18,6 +18,9 @@
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
+    /** Longest cold time of a target that is taken over, in milliseconds; limits the effect of a nonsensical value. */
+    private static final double MAX_COLD_MS = 600_000;
+
     private final Dialect dialect;
 
     private final TargetCatalog targets;
@@ -50,6 +53,7 @@
                     .write();
         }
         observeLimit(target, head, requestSentAt, now);
+        coldMillis(head).ifPresent(millis -> targets.recordCold(target, millis, now));
         pauseMillis(head).ifPresent(millis -> {
             targets.recordPauseRequest(target, millis, now);
             log.line(Category.FAILURE, "paused")
@@ -96,6 +100,25 @@
         }
     }
 
+    /**
+     * Returns the time for which a target is still cold.
+     *
+     * @param head head of a response
+     * @return the time in milliseconds, empty if the response does not say or the value is malformed or negative
+     */
+    OptionalLong coldMillis(HttpResponse head) {
+        String value = head.headers().get(dialect.cold());
+        if (value == null) {
+            return OptionalLong.empty();
+        }
+        try {
+            double millis = Double.parseDouble(value.strip());
+            return millis >= 0 ? OptionalLong.of(Math.round(Math.min(MAX_COLD_MS, millis))) : OptionalLong.empty();
+        } catch (NumberFormatException malformed) {
+            return OptionalLong.empty();
+        }
+    }
+
     /**
      * Returns the time for which a target wants no requests. Only a number of seconds is understood, possibly with a
      * fraction. A date is ignored, because the clocks of the two hosts may differ by more than the time meant.
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/ExchangedState.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/ExchangedState.java
@@ -1,6 +1,7 @@
 package org.bamboohatch.gateway.load;
 
 import org.bamboohatch.gateway.GatewaySettings;
+import org.bamboohatch.gateway.target.ColdTargets;
 import org.bamboohatch.gateway.target.LeavingTargets;
 import org.bamboohatch.gateway.target.TargetLimits;
 import org.bamboohatch.gateway.target.TargetPauses;
@@ -14,13 +15,39 @@
  * @param pauses the pauses that targets have asked for
  * @param limits the limits that targets have named
  * @param quarantine the traits of requests that end targets
+ * @param coldTargets the cold times of targets
  */
 public record ExchangedState(
         LoadTracker loadTracker,
         LeavingTargets leavingTargets,
         TargetPauses pauses,
         TargetLimits limits,
-        RequestQuarantine quarantine) {
+        RequestQuarantine quarantine,
+        ColdTargets coldTargets) {
+
+    /**
+     * Creates a state without targets that are cold.
+     *
+     * @param loadTracker load of the targets
+     * @param leavingTargets the targets that are about to end
+     * @param pauses the pauses that targets have asked for
+     * @param limits the limits that targets have named
+     * @param quarantine the traits of requests that end targets
+     */
+    public ExchangedState(
+            LoadTracker loadTracker,
+            LeavingTargets leavingTargets,
+            TargetPauses pauses,
+            TargetLimits limits,
+            RequestQuarantine quarantine) {
+        this(
+                loadTracker,
+                leavingTargets,
+                pauses,
+                limits,
+                quarantine,
+                new ColdTargets(limits, ColdTargets.Observer.Disabled.INSTANCE));
+    }
 
     /**
      * Creates the state of a gateway that has not heard of any target.
@@ -29,11 +56,13 @@
      * @return the empty state
      */
     public static ExchangedState empty(GatewaySettings settings) {
+        TargetLimits limits = new TargetLimits(settings.host());
         return new ExchangedState(
                 new LoadTracker(),
                 new LeavingTargets(),
                 new TargetPauses(),
-                new TargetLimits(settings.host()),
-                new RequestQuarantine(settings.promptQuarantineMillis(), new QuarantineLog()));
+                limits,
+                new RequestQuarantine(settings.promptQuarantineMillis(), new QuarantineLog()),
+                new ColdTargets(limits, new WarmUpLog()));
     }
 }
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/GatewayLoad.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/GatewayLoad.java
@@ -7,6 +7,7 @@
 
 import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.annotation.JsonPropertyOrder;
+import org.bamboohatch.gateway.target.ColdTargets;
 import org.bamboohatch.gateway.target.TargetLimits;
 import org.bamboohatch.kernel.id.RequestTrait;
 import org.bamboohatch.kernel.id.TargetIncarnation;
@@ -16,6 +17,7 @@
 import org.bamboohatch.protocol.message.MessageCatalog;
 import org.bamboohatch.routing.fleet.Workload;
 import org.bamboohatch.routing.quarantine.TargetCrash;
+import org.bamboohatch.routing.retry.ColdPeriod;
 
 /**
  * Load report that a gateway sends to another gateway. Reports may be lost or overtake each other.
@@ -30,6 +32,7 @@
  * @param generated suspected traits on which responses were generated
  * @param limits limits that targets have named
  * @param pauses pauses that targets have asked for
+ * @param cold cold times of targets
  */
 public record GatewayLoad(
         String gateway,
@@ -41,7 +44,8 @@
         List<Crash> crashes,
         List<GeneratedTrait> generated,
         List<Limit> limits,
-        List<Pause> pauses)
+        List<Pause> pauses,
+        List<ColdTime> cold)
         implements Message {
 
     /** Suspects in one piece of a crash, so that several pieces fit into a datagram. */
@@ -55,6 +59,7 @@
         generated = generated == null ? List.of() : List.copyOf(generated);
         limits = limits == null ? List.of() : List.copyOf(limits);
         pauses = pauses == null ? List.of() : List.copyOf(pauses);
+        cold = cold == null ? List.of() : List.copyOf(cold);
     }
 
     /**
@@ -176,6 +181,32 @@
         }
     }
 
+    /**
+     * Cold time of a target.
+     *
+     * @param target name of the target
+     * @param incarnation number of the incarnation
+     * @param leftMillis time for which the target is still cold, in milliseconds; negative if its cold time is over
+     * @param ageMillis time since the target said so, in milliseconds
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    @JsonPropertyOrder({"target", "incarnation", "leftMillis", "ageMillis"})
+    public record ColdTime(TargetName target, long incarnation, long leftMillis, long ageMillis) {
+
+        static ColdTime of(ColdTargets.Statement statement, long now) {
+            return new ColdTime(
+                    statement.target().target(),
+                    statement.target().number(),
+                    statement.period().endsAt() - now,
+                    now - statement.period().statedAt());
+        }
+
+        ColdTargets.Statement toStatement(long now) {
+            return new ColdTargets.Statement(
+                    new TargetIncarnation(target, incarnation), new ColdPeriod(now + leftMillis, now - ageMillis));
+        }
+    }
+
     /**
      * Load at one target. Numbers are rounded and encoded as an array to keep reports small.
      *
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
@@ -27,6 +27,7 @@
 import org.apache.logging.log4j.Logger;
 import org.bamboohatch.gateway.GatewayClock;
 import org.bamboohatch.gateway.GatewaySettings;
+import org.bamboohatch.gateway.target.ColdTargets;
 import org.bamboohatch.gateway.target.LeavingTargets;
 import org.bamboohatch.gateway.target.TargetLimits;
 import org.bamboohatch.gateway.target.TargetPauses;
@@ -70,6 +71,8 @@
 
     private final TargetLimits limits;
 
+    private final ColdTargets coldTargets;
+
     private final RequestQuarantine quarantine;
 
     private final EventLoop loop;
@@ -107,20 +110,23 @@
      * @param observations crashes of targets and the traits of requests that are suspected of them
      * @param limits limits that targets have named
      * @param pauses the end of each pause that a target has asked for, in milliseconds, by target
+     * @param cold cold times of targets
      */
     private record Content(
             Map<TargetName, Workload> workloads,
             List<TargetIncarnation> leaving,
             Observations observations,
             List<TargetLimits.Statement> limits,
-            Map<TargetIncarnation, Long> pauses) {
+            Map<TargetIncarnation, Long> pauses,
+            List<ColdTargets.Statement> cold) {
 
         boolean isEmpty() {
             return workloads.isEmpty()
                     && leaving.isEmpty()
                     && observations.isEmpty()
                     && limits.isEmpty()
-                    && pauses.isEmpty();
+                    && pauses.isEmpty()
+                    && cold.isEmpty();
         }
     }
 
@@ -135,6 +141,8 @@
 
         private final TargetPauses.PendingReport pendingPauses = pauses.newReport();
 
+        private final ColdTargets.PendingReport pendingCold = coldTargets.newReport();
+
         private final Set<TargetIncarnation> pendingLeaving = new LinkedHashSet<>();
 
         /**
@@ -150,7 +158,8 @@
                     List.copyOf(pendingLeaving),
                     complete ? pendingObservations.takeAll(now) : pendingObservations.takeChanges(),
                     complete ? pendingLimits.takeAll(now) : pendingLimits.takeChanges(),
-                    complete ? pendingPauses.takeAll(now) : pendingPauses.takeChanges());
+                    complete ? pendingPauses.takeAll(now) : pendingPauses.takeChanges(),
+                    complete ? pendingCold.takeAll(now) : pendingCold.takeChanges());
             pendingLeaving.clear();
             return content;
         }
@@ -181,6 +190,7 @@
         this.leavingTargets = state.leavingTargets();
         this.pauses = state.pauses();
         this.limits = state.limits();
+        this.coldTargets = state.coldTargets();
         this.quarantine = state.quarantine();
         this.loop = loop;
         this.near = new Audience();
@@ -221,7 +231,7 @@
                 Network.parseAnnounced(address).ifPresent(present::add);
             }
         }
-        limits.setGateways(gateways.size());
+        limits.setGateways(gateways, settings.exchange());
         quarantine.setGateways(gateways, settings.exchange());
         peers.keySet().retainAll(present);
         present.forEach(address -> peers.computeIfAbsent(address, added -> {
@@ -291,6 +301,9 @@
         List<GatewayLoad.Pause> askedPauses = content.pauses().entrySet().stream()
                 .map(pause -> GatewayLoad.Pause.of(pause.getKey(), pause.getValue(), now))
                 .toList();
+        List<GatewayLoad.ColdTime> coldTimes = content.cold().stream()
+                .map(statement -> GatewayLoad.ColdTime.of(statement, now))
+                .toList();
         int datagrams = IntStream.of(
                         1,
                         pages(targets, TARGETS_PER_REPORT),
@@ -298,7 +311,8 @@
                         pages(crashes, CRASHES_PER_REPORT),
                         pages(generated, TARGETS_PER_REPORT),
                         pages(namedLimits, TARGETS_PER_REPORT),
-                        pages(askedPauses, TARGETS_PER_REPORT))
+                        pages(askedPauses, TARGETS_PER_REPORT),
+                        pages(coldTimes, TARGETS_PER_REPORT))
                 .max()
                 .getAsInt();
         for (int datagram = 0; datagram < datagrams; datagram++) {
@@ -314,7 +328,8 @@
                             page(crashes, datagram, CRASHES_PER_REPORT),
                             page(generated, datagram, TARGETS_PER_REPORT),
                             page(namedLimits, datagram, TARGETS_PER_REPORT),
-                            page(askedPauses, datagram, TARGETS_PER_REPORT)));
+                            page(askedPauses, datagram, TARGETS_PER_REPORT),
+                            page(coldTimes, datagram, TARGETS_PER_REPORT)));
             receivers.forEach(receiver -> socket.write(new DatagramPacket(Unpooled.wrappedBuffer(report), receiver)));
         }
         socket.flush();
@@ -352,6 +367,7 @@
         report.leaving().forEach(target -> leavingTargets.addReported(target.toIncarnation(), now));
         report.pauses().forEach(pause -> pauses.addReported(pause.toIncarnation(), now + pause.leftMillis(), now));
         report.limits().forEach(limit -> limits.apply(limit.toStatement(now), now));
+        report.cold().forEach(coldTime -> coldTargets.apply(coldTime.toStatement(now), now));
         quarantine.apply(
                 new Observations(
                         report.crashes().stream()
--- a/gateway/src/main/java/org/bamboohatch/gateway/target/TargetLimits.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/TargetLimits.java
@@ -15,8 +15,9 @@
 import org.bamboohatch.routing.retry.RateShare;
 
 /**
- * Limits that targets have named, to this gateway or to another one, on the requests that they take from all gateways
- * together. The latest word of a target holds. Confined to the callers' event loop.
+ * Limits on the requests that targets take from all gateways together: those that targets have named, to this gateway or to
+ * another one, and the rates of cold targets. The latest word of a target holds, and the lower one of both limits applies.
+ * Confined to the callers' event loop.
  */
 public final class TargetLimits {
 
@@ -33,6 +34,8 @@
 
     private final Map<TargetIncarnation, Entry> entries = new LinkedHashMap<>();
 
+    private final ColdShares coldShares = new ColdShares();
+
     private final List<PendingReport> pendingReports = new ArrayList<>();
 
     /**
@@ -115,6 +118,38 @@
         gateways = Math.max(1, count);
     }
 
+    /**
+     * Sets the gateways that share the limits.
+     *
+     * @param addresses addresses for load reports of all gateways
+     * @param own address of this gateway
+     */
+    public void setGateways(List<String> addresses, String own) {
+        setGateways(addresses.size());
+        coldShares.setGateways(addresses, own);
+    }
+
+    /**
+     * Sets the rate of a cold target until the end of its cold time.
+     *
+     * @param target the target
+     * @param perSecond requests per second that it takes from all gateways together
+     * @param endsAt end of the cold time, in milliseconds
+     * @param now current time, in milliseconds
+     */
+    public void setColdRate(TargetIncarnation target, double perSecond, long endsAt, long now) {
+        coldShares.put(target, perSecond, endsAt, now);
+    }
+
+    /**
+     * Removes the rate of a target that is cold no longer.
+     *
+     * @param target the target
+     */
+    public void removeColdRate(TargetIncarnation target) {
+        coldShares.remove(target);
+    }
+
     /**
      * Returns the place of this gateway among all that send requests to a target.
      *
@@ -210,7 +245,29 @@
      */
     public long nextSendAt(TargetIncarnation target, long now) {
         Entry entry = entries.isEmpty() ? null : entries.get(target);
-        return entry == null || entry.share() == null ? 0 : entry.share().nextSendAt(now);
+        long named = entry == null || entry.share() == null ? 0 : entry.share().nextSendAt(now);
+        return Math.max(named, coldSendAt(target, now));
+    }
+
+    /**
+     * Returns the time from which a target may be sent a request as far as its cold time is concerned.
+     *
+     * @param target the target
+     * @param now current time, in milliseconds
+     * @return the time in milliseconds, zero if the target is not cold
+     */
+    public long coldSendAt(TargetIncarnation target, long now) {
+        return coldShares.nextSendAt(target, now);
+    }
+
+    /**
+     * Records that a memory command was sent to a target. It counts for the rate of a cold target.
+     *
+     * @param target the target
+     * @param now current time, in milliseconds
+     */
+    public void recordCommand(TargetIncarnation target, long now) {
+        coldShares.recordSend(target, now);
     }
 
     /**
@@ -220,6 +277,7 @@
      * @param now current time, in milliseconds
      */
     public void recordSend(TargetIncarnation target, long now) {
+        coldShares.recordSend(target, now);
         entries.computeIfPresent(
                 target,
                 (limited, entry) ->
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
@@ -79,6 +79,9 @@
     /** Incarnation of the targets that are announced next. */
     volatile long incarnation = 1;
 
+    /** Requests per second that a cold target takes from all gateways, in the configuration that is applied next. */
+    volatile double coldPerSecond;
+
     /** Time for which the process stalls after the arrival of the next request, in milliseconds. */
     private final AtomicLong nextStallMillis = new AtomicLong();
 
@@ -158,7 +161,7 @@
         return new Route("r" + prefix, "beads.example", prefix, kind, timeout, 300, 1, split, 2, open, true, 250);
     }
 
-    private static FleetConfiguration configuration() {
+    private FleetConfiguration configuration() {
         return new FleetConfiguration(
                 3,
                 List.of(
@@ -168,7 +171,7 @@
                         route("/generate/", RouteKind.STREAMING, 4_000, false),
                         route("/open/", RouteKind.IDEMPOTENT, 2_000, true)),
                 List.of(
-                        new FleetService(SERVICE, "/healthz", 10, Optional.empty()),
+                        new FleetService(SERVICE, "/healthz", 10, Optional.empty(), 0, coldPerSecond),
                         new FleetService(ENGINES, "/healthz", 10, Optional.of(ENGINE))),
                 LIMITS,
                 Optional.of(List.of(new FleetAccount(new AccountName("oaxaca"), List.of("key-1"), 1))));
@@ -181,6 +184,11 @@
         other.loop.submit(() -> other.exchange.apply(addresses)).sync();
     }
 
+    /** Loses all load reports from and to this gateway from now on. */
+    void loseReports() {
+        exchange.stop();
+    }
+
     /** Announces both targets once the first one has received a request. */
     void applyOnceReceived(FakeTarget first, FakeTarget second) {
         applyOnceReceived(first, new FakeTarget[] {first, second});
--- a/gateway/src/test/java/org/bamboohatch/gateway/load/GatewayLoadTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/load/GatewayLoadTest.java
@@ -34,7 +34,8 @@
                     ENGINE, 7, 100, List.of(new RequestTrait("part")), TargetCrash.State.UNEXPLAINED)),
             List.of(new GatewayLoad.GeneratedTrait(new RequestTrait("part"), 200)),
             List.of(new GatewayLoad.Limit(ENGINE, 7, 1.5, 300), new GatewayLoad.Limit(ENGINE, 8, null, 300)),
-            List.of(new GatewayLoad.Pause(ENGINE, 7, 400)));
+            List.of(new GatewayLoad.Pause(ENGINE, 7, 400)),
+            List.of(new GatewayLoad.ColdTime(ENGINE, 7, 3_000, 500)));
 
     /** Decodes the report after a change of its encoded fields, which follow the name of the message type. */
     private static GatewayLoad decodeChanged(Consumer<Map<String, Object>> change) throws Exception {
@@ -55,13 +56,14 @@
     /** The gateways of an installation are updated one after the other. */
     @Test
     void aReportOfABuildWithFewerPartsIsUnderstood() throws Exception {
-        GatewayLoad decoded =
-                decodeChanged(fields -> fields.keySet().removeAll(List.of("crashes", "generated", "limits", "pauses")));
+        GatewayLoad decoded = decodeChanged(
+                fields -> fields.keySet().removeAll(List.of("crashes", "generated", "limits", "pauses", "cold")));
         assertThat(decoded.gateway()).isEqualTo("gateway-1");
         assertThat(decoded.crashes()).isEmpty();
         assertThat(decoded.generated()).isEmpty();
         assertThat(decoded.limits()).isEmpty();
         assertThat(decoded.pauses()).isEmpty();
+        assertThat(decoded.cold()).isEmpty();
     }
 
     @Test
