Limit the concurrency of targets that have started by what they answer

Cause: a target that has become warm still looks idle beside busy ones.

Change: ConcurrencyRamp begins at two concurrent requests over all gateways, adds one for each first event within its objective or twice its prediction, and halves for late responses and failures, once in the time of a response. Each gateway begins a ramp by itself when a target has started, become warm, or come back from its ejection; load reports carry what is learned, and begin no ramp. A target at its limit is left out unless no other is left. There is no ramp if most targets of a service started within 5 s. Only services that name cold_per_s have ramps. New metric gateway.ramps, reason ramp of gateway.held.off, log events ramp-begin and ramp-end.

TargetCatalogTest passes the current time to recordSuccess, which has a new argument.

--- a/gateway/src/main/java/org/bamboohatch/gateway/GatewayProgram.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/GatewayProgram.java
@@ -98,6 +98,9 @@
         metrics.registerGauge("gateway.cold", "targets whose rate is limited as they are cold", forwarder::coldTargets);
         metrics.registerCounter(
                 "gateway.held.off", "placements that left out a target", "cold", forwarder::heldOffByCold);
+        metrics.registerGauge("gateway.ramps", "targets whose concurrency is limited", forwarder::rampedTargets);
+        metrics.registerCounter(
+                "gateway.held.off", "placements that left out a target", "ramp", forwarder::heldOffByRamps);
         metrics.registerGauge("gateway.targets", "targets that take work", () -> store.view()
                 .targets()
                 .size());
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardedRequest.java
@@ -390,7 +390,7 @@
         timeToFirstByteMillis = GatewayClock.now() - request.arrivedAt();
         responder.head(head.status(), forwarder.dispatcher().responseHeaders(head.headers()), length);
         long now = GatewayClock.now();
-        forwarder.onResponseBegin(this, now);
+        forwarder.onResponseBegin(this, attempt, head, now);
         log.firstByte(attempt, request.arrivedAt(), now);
     }
 
@@ -406,7 +406,7 @@
         }
         responder.end();
         if (head.status().code() < TargetStatus.SERVER_ERROR) {
-            forwarder.targets().recordSuccess(attempt.target());
+            forwarder.targets().recordSuccess(attempt.target(), GatewayClock.now());
         }
         // Other ends may hide a truncated response, so that their lines are not dropped along with the ordinary ones.
         boolean usual = history.sends() == 1 && BodyFraming.of(head).isExplicit();
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
@@ -9,6 +9,7 @@
 
 import com.dynatrace.hash4j.hashing.Hashing;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpResponse;
 import org.bamboohatch.gateway.Dialect;
 import org.bamboohatch.gateway.GatewayClock;
 import org.bamboohatch.gateway.GatewayMetrics;
@@ -26,6 +27,7 @@
 import org.bamboohatch.gateway.target.ColdTargets;
 import org.bamboohatch.gateway.target.TargetAddress;
 import org.bamboohatch.gateway.target.TargetConnectionPool;
+import org.bamboohatch.gateway.target.TargetRamps;
 import org.bamboohatch.kernel.id.ServiceName;
 import org.bamboohatch.kernel.log.DecisionLog;
 import org.bamboohatch.kernel.log.DecisionLog.Category;
@@ -33,6 +35,7 @@
 import org.bamboohatch.kernel.outcome.Refusal;
 import org.bamboohatch.routing.fleet.Demand;
 import org.bamboohatch.routing.quarantine.RequestQuarantine;
+import org.bamboohatch.routing.retry.ConcurrencyRamp;
 import org.bamboohatch.routing.retry.ReturnDelay;
 import org.bamboohatch.routing.retry.SharedRetryBudget;
 
@@ -62,6 +65,8 @@
 
     private final ColdTargets coldTargets;
 
+    private final TargetRamps ramps;
+
     /** Retry budgets by service. */
     private final Map<ServiceName, SharedRetryBudget> budgets = new HashMap<>();
 
@@ -108,6 +113,7 @@
         this.configuration = configuration;
         this.requestAdmission = new RequestAdmission(dialect, settings.freshnessMillis());
         this.coldTargets = state.coldTargets();
+        this.ramps = state.ramps();
         this.targets = new TargetCatalog(settings.host(), settings.zone(), state);
         this.pool = new TargetConnectionPool(
                 loop, dialect.requestId(), new TargetNotices(dialect, targets, log), buffers.responses());
@@ -161,6 +167,24 @@
         return coldTargets.heldOff();
     }
 
+    /**
+     * Returns the number of targets whose concurrent requests are limited because they have started.
+     *
+     * @return the number as of the last placement
+     */
+    public int rampedTargets() {
+        return ramps.size();
+    }
+
+    /**
+     * Returns the number of placements that left out a target because of the limit of its ramp.
+     *
+     * @return the number since the start of the process
+     */
+    public long heldOffByRamps() {
+        return ramps.heldOff();
+    }
+
     /** Refuses all further requests, because the end of the process could cut off their responses. */
     public void stopAdmitting() {
         admissionEndsAt = Long.MIN_VALUE;
@@ -336,7 +360,13 @@
                 targets.shortestPauseMillis(admitted.service().name(), now), hash);
     }
 
-    void onResponseBegin(ForwardedRequest forwarded, long now) {
+    void onResponseBegin(ForwardedRequest forwarded, ForwardingAttempt attempt, HttpResponse head, long now) {
+        boolean inTime = head.status().code() < TargetStatus.SERVER_ERROR
+                && ConcurrencyRamp.isInTime(
+                        now - (double) attempt.startedAt(),
+                        attempt.resources().placement().timeToFirstTokenMillis(),
+                        forwarded.demand().targetLatencyMillis());
+        targets.recordFirstEvent(attempt.target(), attempt.startedAt(), inTime, now);
         metrics.recordFirstByte(forwarded.demand(), now - forwarded.request().arrivedAt());
     }
 
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetCatalog.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetCatalog.java
@@ -19,6 +19,7 @@
 import org.bamboohatch.gateway.target.TargetAddress;
 import org.bamboohatch.gateway.target.TargetLimits;
 import org.bamboohatch.gateway.target.TargetPauses;
+import org.bamboohatch.gateway.target.TargetRamps;
 import org.bamboohatch.kernel.id.HostName;
 import org.bamboohatch.kernel.id.ServiceName;
 import org.bamboohatch.kernel.id.TargetName;
@@ -49,6 +50,8 @@
 
     private final ColdTargets cold;
 
+    private final TargetRamps ramps;
+
     private final TargetWarmUp warmUp;
 
     /** Observed health by address; the address includes the incarnation, so a restarted target starts anew. */
@@ -81,7 +84,8 @@
         this.pauses = state.pauses();
         this.limits = state.limits();
         this.cold = state.coldTargets();
-        this.warmUp = new TargetWarmUp(cold);
+        this.ramps = state.ramps();
+        this.warmUp = new TargetWarmUp(cold, ramps);
     }
 
     /**
@@ -126,8 +130,8 @@
     }
 
     /**
-     * Returns the targets that a request may be sent to. Those that are leaving, paused or at their limit are omitted; ejected ones are
-     * omitted unless all others are ejected too.
+     * Returns the targets that a request may be sent to. Those that are leaving, paused or at their limit are omitted; ejected ones and
+     * those whose concurrency is limited because they have started are omitted unless no other is left.
      *
      * @param service the service of the request
      * @param excluded targets that are not considered
@@ -135,11 +139,18 @@
      * @return the candidates for placement
      */
     List<Candidate> candidates(ServiceName service, Set<TargetName> excluded, long now) {
-        cold.expire(now);
-        List<KnownTarget> all = members.getOrDefault(service, List.of()).stream()
+        warmUp.advance(now);
+        List<KnownTarget> accepting = members.getOrDefault(service, List.of()).stream()
                 .filter(member -> !excluded.contains(member.target().target()))
                 .filter(member -> isCandidate(member, now))
                 .toList();
+        List<KnownTarget> belowLimit = accepting.stream()
+                .filter(member -> !ramps.holdOff(
+                        member.address().toIncarnation(),
+                        loadTracker.load(member.target().target(), now).runs(),
+                        now))
+                .toList();
+        List<KnownTarget> all = belowLimit.isEmpty() ? accepting : belowLimit;
         List<KnownTarget> preferred = all.stream()
                 .filter(member -> health.getOrDefault(member.address(), TargetHealth.HEALTHY)
                         .isAvailable(now))
@@ -331,7 +342,23 @@
         updateHealth(target, health -> health.afterDispatch(now));
     }
 
-    void recordSuccess(TargetAddress target) {
+    /**
+     * Records the first event of a response, or the response of a plain service.
+     *
+     * @param target address of the target
+     * @param sentAt time at which the request was sent, in milliseconds
+     * @param inTime whether it is as early as that of a target at its full speed
+     * @param now current time, in milliseconds
+     */
+    void recordFirstEvent(TargetAddress target, long sentAt, boolean inTime, long now) {
+        ramps.recordResponse(target.toIncarnation(), sentAt, inTime, now);
+    }
+
+    void recordSuccess(TargetAddress target, long now) {
+        boolean wasEjected = health.getOrDefault(target, TargetHealth.HEALTHY).ejections() > 0;
+        if (wasEjected && cold.isLimitedService(target.toIncarnation())) {
+            warmUp.begin(target.toIncarnation(), now);
+        }
         updateHealth(target, TargetHealth::afterSuccess);
     }
 
@@ -359,6 +386,7 @@
     }
 
     void recordFailure(TargetAddress target, long now) {
+        ramps.recordFailure(target.toIncarnation(), now);
         updateHealth(target, health -> health.afterFailure(now));
     }
 }
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/ExchangedState.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/ExchangedState.java
@@ -5,6 +5,7 @@
 import org.bamboohatch.gateway.target.LeavingTargets;
 import org.bamboohatch.gateway.target.TargetLimits;
 import org.bamboohatch.gateway.target.TargetPauses;
+import org.bamboohatch.gateway.target.TargetRamps;
 import org.bamboohatch.routing.quarantine.RequestQuarantine;
 
 /**
@@ -16,6 +17,7 @@
  * @param limits the limits that targets have named
  * @param quarantine the traits of requests that end targets
  * @param coldTargets the cold times of targets
+ * @param ramps the limits on the concurrent requests of targets that have started
  */
 public record ExchangedState(
         LoadTracker loadTracker,
@@ -23,7 +25,8 @@
         TargetPauses pauses,
         TargetLimits limits,
         RequestQuarantine quarantine,
-        ColdTargets coldTargets) {
+        ColdTargets coldTargets,
+        TargetRamps ramps) {
 
     /**
      * Creates a state without targets that are cold.
@@ -46,7 +49,8 @@
                 pauses,
                 limits,
                 quarantine,
-                new ColdTargets(limits, ColdTargets.Observer.Disabled.INSTANCE));
+                new ColdTargets(limits, ColdTargets.Observer.Disabled.INSTANCE),
+                new TargetRamps(TargetRamps.Observer.Disabled.INSTANCE));
     }
 
     /**
@@ -57,12 +61,14 @@
      */
     public static ExchangedState empty(GatewaySettings settings) {
         TargetLimits limits = new TargetLimits(settings.host());
+        WarmUpLog log = new WarmUpLog();
         return new ExchangedState(
                 new LoadTracker(),
                 new LeavingTargets(),
                 new TargetPauses(),
                 limits,
                 new RequestQuarantine(settings.promptQuarantineMillis(), new QuarantineLog()),
-                new ColdTargets(limits, new WarmUpLog()));
+                new ColdTargets(limits, log),
+                new TargetRamps(log));
     }
 }
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/GatewayLoad.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/GatewayLoad.java
@@ -9,6 +9,7 @@
 import com.fasterxml.jackson.annotation.JsonPropertyOrder;
 import org.bamboohatch.gateway.target.ColdTargets;
 import org.bamboohatch.gateway.target.TargetLimits;
+import org.bamboohatch.gateway.target.TargetRamps;
 import org.bamboohatch.kernel.id.RequestTrait;
 import org.bamboohatch.kernel.id.TargetIncarnation;
 import org.bamboohatch.kernel.id.TargetName;
@@ -18,6 +19,7 @@
 import org.bamboohatch.routing.fleet.Workload;
 import org.bamboohatch.routing.quarantine.TargetCrash;
 import org.bamboohatch.routing.retry.ColdPeriod;
+import org.bamboohatch.routing.retry.ConcurrencyRamp;
 
 /**
  * Load report that a gateway sends to another gateway. Reports may be lost or overtake each other.
@@ -33,6 +35,7 @@
  * @param limits limits that targets have named
  * @param pauses pauses that targets have asked for
  * @param cold cold times of targets
+ * @param ramps limits on the concurrent requests of targets that have started
  */
 public record GatewayLoad(
         String gateway,
@@ -45,7 +48,8 @@
         List<GeneratedTrait> generated,
         List<Limit> limits,
         List<Pause> pauses,
-        List<ColdTime> cold)
+        List<ColdTime> cold,
+        List<Ramp> ramps)
         implements Message {
 
     /** Suspects in one piece of a crash, so that several pieces fit into a datagram. */
@@ -60,6 +64,7 @@
         limits = limits == null ? List.of() : List.copyOf(limits);
         pauses = pauses == null ? List.of() : List.copyOf(pauses);
         cold = cold == null ? List.of() : List.copyOf(cold);
+        ramps = ramps == null ? List.of() : List.copyOf(ramps);
     }
 
     /**
@@ -207,6 +212,50 @@
         }
     }
 
+    /**
+     * Limit on the concurrent requests of a target that has started. An age is negative if what it refers to has not
+     * happened.
+     *
+     * @param target name of the target
+     * @param incarnation number of the incarnation
+     * @param limit number of requests that the target may run for all gateways together
+     * @param neededAgeMillis time since the limit was last reached, in milliseconds
+     * @param increasedAgeMillis time since the last response in time, in milliseconds
+     * @param decreasedAgeMillis time since the last decrease, in milliseconds
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    @JsonPropertyOrder({"target", "incarnation", "limit", "neededAgeMillis", "increasedAgeMillis", "decreasedAgeMillis"
+    })
+    public record Ramp(
+            TargetName target,
+            long incarnation,
+            int limit,
+            long neededAgeMillis,
+            long increasedAgeMillis,
+            long decreasedAgeMillis) {
+
+        static Ramp of(TargetRamps.Statement statement, long now) {
+            ConcurrencyRamp ramp = statement.ramp();
+            return new Ramp(
+                    statement.target().target(),
+                    statement.target().number(),
+                    ramp.limit(),
+                    now - ramp.neededAt(),
+                    ramp.increasedAt() == Long.MIN_VALUE ? -1 : now - ramp.increasedAt(),
+                    ramp.decreasedAt() == Long.MIN_VALUE ? -1 : now - ramp.decreasedAt());
+        }
+
+        TargetRamps.Statement toStatement(long now) {
+            return new TargetRamps.Statement(
+                    new TargetIncarnation(target, incarnation),
+                    new ConcurrencyRamp(
+                            limit,
+                            now - neededAgeMillis,
+                            increasedAgeMillis < 0 ? Long.MIN_VALUE : now - increasedAgeMillis,
+                            decreasedAgeMillis < 0 ? Long.MIN_VALUE : now - decreasedAgeMillis));
+        }
+    }
+
     /**
      * Load at one target. Numbers are rounded and encoded as an array to keep reports small.
      *
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
@@ -31,6 +31,7 @@
 import org.bamboohatch.gateway.target.LeavingTargets;
 import org.bamboohatch.gateway.target.TargetLimits;
 import org.bamboohatch.gateway.target.TargetPauses;
+import org.bamboohatch.gateway.target.TargetRamps;
 import org.bamboohatch.kernel.id.TargetIncarnation;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.id.ZoneName;
@@ -73,6 +74,8 @@
 
     private final ColdTargets coldTargets;
 
+    private final TargetRamps ramps;
+
     private final RequestQuarantine quarantine;
 
     private final EventLoop loop;
@@ -111,6 +114,7 @@
      * @param limits limits that targets have named
      * @param pauses the end of each pause that a target has asked for, in milliseconds, by target
      * @param cold cold times of targets
+     * @param ramps limits of targets that have started
      */
     private record Content(
             Map<TargetName, Workload> workloads,
@@ -118,7 +122,8 @@
             Observations observations,
             List<TargetLimits.Statement> limits,
             Map<TargetIncarnation, Long> pauses,
-            List<ColdTargets.Statement> cold) {
+            List<ColdTargets.Statement> cold,
+            List<TargetRamps.Statement> ramps) {
 
         boolean isEmpty() {
             return workloads.isEmpty()
@@ -126,7 +131,8 @@
                     && observations.isEmpty()
                     && limits.isEmpty()
                     && pauses.isEmpty()
-                    && cold.isEmpty();
+                    && cold.isEmpty()
+                    && ramps.isEmpty();
         }
     }
 
@@ -143,6 +149,8 @@
 
         private final ColdTargets.PendingReport pendingCold = coldTargets.newReport();
 
+        private final TargetRamps.PendingReport pendingRamps = ramps.newReport();
+
         private final Set<TargetIncarnation> pendingLeaving = new LinkedHashSet<>();
 
         /**
@@ -159,7 +167,8 @@
                     complete ? pendingObservations.takeAll(now) : pendingObservations.takeChanges(),
                     complete ? pendingLimits.takeAll(now) : pendingLimits.takeChanges(),
                     complete ? pendingPauses.takeAll(now) : pendingPauses.takeChanges(),
-                    complete ? pendingCold.takeAll(now) : pendingCold.takeChanges());
+                    complete ? pendingCold.takeAll(now) : pendingCold.takeChanges(),
+                    complete ? pendingRamps.takeAll(now) : pendingRamps.takeChanges());
             pendingLeaving.clear();
             return content;
         }
@@ -191,6 +200,7 @@
         this.pauses = state.pauses();
         this.limits = state.limits();
         this.coldTargets = state.coldTargets();
+        this.ramps = state.ramps();
         this.quarantine = state.quarantine();
         this.loop = loop;
         this.near = new Audience();
@@ -304,6 +314,9 @@
         List<GatewayLoad.ColdTime> coldTimes = content.cold().stream()
                 .map(statement -> GatewayLoad.ColdTime.of(statement, now))
                 .toList();
+        List<GatewayLoad.Ramp> limitedRuns = content.ramps().stream()
+                .map(statement -> GatewayLoad.Ramp.of(statement, now))
+                .toList();
         int datagrams = IntStream.of(
                         1,
                         pages(targets, TARGETS_PER_REPORT),
@@ -312,7 +325,8 @@
                         pages(generated, TARGETS_PER_REPORT),
                         pages(namedLimits, TARGETS_PER_REPORT),
                         pages(askedPauses, TARGETS_PER_REPORT),
-                        pages(coldTimes, TARGETS_PER_REPORT))
+                        pages(coldTimes, TARGETS_PER_REPORT),
+                        pages(limitedRuns, TARGETS_PER_REPORT))
                 .max()
                 .getAsInt();
         for (int datagram = 0; datagram < datagrams; datagram++) {
@@ -329,7 +343,8 @@
                             page(generated, datagram, TARGETS_PER_REPORT),
                             page(namedLimits, datagram, TARGETS_PER_REPORT),
                             page(askedPauses, datagram, TARGETS_PER_REPORT),
-                            page(coldTimes, datagram, TARGETS_PER_REPORT)));
+                            page(coldTimes, datagram, TARGETS_PER_REPORT),
+                            page(limitedRuns, datagram, TARGETS_PER_REPORT)));
             receivers.forEach(receiver -> socket.write(new DatagramPacket(Unpooled.wrappedBuffer(report), receiver)));
         }
         socket.flush();
@@ -368,6 +383,7 @@
         report.pauses().forEach(pause -> pauses.addReported(pause.toIncarnation(), now + pause.leftMillis(), now));
         report.limits().forEach(limit -> limits.apply(limit.toStatement(now), now));
         report.cold().forEach(coldTime -> coldTargets.apply(coldTime.toStatement(now), now));
+        report.ramps().forEach(ramp -> ramps.apply(ramp.toStatement(now), now));
         quarantine.apply(
                 new Observations(
                         report.crashes().stream()
--- a/gateway/src/main/java/org/bamboohatch/gateway/target/ColdTargets.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/ColdTargets.java
@@ -35,6 +35,9 @@
     /** The targets whose rate is limited now. */
     private final Set<TargetIncarnation> limited = new LinkedHashSet<>();
 
+    /** Targets of limited services whose cold time has ended and that have not been taken. */
+    private final Set<TargetIncarnation> ended = new LinkedHashSet<>();
+
     /** Number of placements that left out a cold target because this gateway's share was used. */
     private long heldOff;
 
@@ -223,10 +226,38 @@
             }
         } else if (limited.remove(target)) {
             limits.removeColdRate(target);
+            if (rate != null) {
+                ended.add(target);
+            }
             observer.onWarm(target, now);
         }
     }
 
+    /**
+     * Returns the targets whose cold time has ended since the previous call.
+     *
+     * @return the targets, without those whose service names no rate any more
+     */
+    public List<TargetIncarnation> takeEnded() {
+        if (ended.isEmpty()) {
+            return List.of();
+        }
+        List<TargetIncarnation> taken =
+                ended.stream().filter(rates::containsKey).toList();
+        ended.clear();
+        return taken;
+    }
+
+    /**
+     * Indicates whether a target belongs to a service that names a rate of cold targets.
+     *
+     * @param target the target
+     * @return whether it is a member of such a service
+     */
+    public boolean isLimitedService(TargetIncarnation target) {
+        return rates.containsKey(target);
+    }
+
     /**
      * Indicates whether a target is cold and its rate limited.
      *
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/ColdCatalogTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/ColdCatalogTest.java
@@ -18,6 +18,7 @@
 import org.bamboohatch.gateway.target.TargetAddress;
 import org.bamboohatch.gateway.target.TargetLimits;
 import org.bamboohatch.gateway.target.TargetPauses;
+import org.bamboohatch.gateway.target.TargetRamps;
 import org.bamboohatch.kernel.id.HostName;
 import org.bamboohatch.kernel.id.ServiceName;
 import org.bamboohatch.kernel.id.TargetName;
@@ -39,13 +40,16 @@
 
     private final ColdTargets cold = new ColdTargets(limits, ColdTargets.Observer.Disabled.INSTANCE);
 
+    private final TargetRamps ramps = new TargetRamps(TargetRamps.Observer.Disabled.INSTANCE);
+
     private final ExchangedState state = new ExchangedState(
             new LoadTracker(),
             new LeavingTargets(),
             new TargetPauses(),
             limits,
             new RequestQuarantine(60_000, RequestQuarantine.Observer.Disabled.INSTANCE),
-            cold);
+            cold,
+            ramps);
 
     private final TargetCatalog catalog = new TargetCatalog(new HostName("gateway-1"), new ZoneName("zone-a"), state);
 
@@ -188,4 +192,99 @@
         catalog.candidates(SERVICE, Set.of(), sendAt);
         assertThat(cold.heldOff()).isEqualTo(1);
     }
+
+    private static TargetAnnouncement[] fleet(long incarnationOfFirst) {
+        TargetAnnouncement[] targets = new TargetAnnouncement[5];
+        for (int number = 0; number < targets.length; number++) {
+            targets[number] =
+                    target("t" + number, number == 0 ? incarnationOfFirst : 1).withColdMillis(0);
+        }
+        return targets;
+    }
+
+    private static TargetAnnouncement[] coldFor(long millis, TargetAnnouncement[] targets, int count) {
+        TargetAnnouncement[] changed = targets.clone();
+        for (int number = 0; number < count; number++) {
+            changed[number] = targets[number].withColdMillis(millis);
+        }
+        return changed;
+    }
+
+    private boolean isCandidate(String name, long now) {
+        return catalog.candidates(SERVICE, Set.of(), now).stream()
+                .anyMatch(candidate -> candidate.name().value().equals(name));
+    }
+
+    private void run(String name, int requests, long now) {
+        for (int number = 0; number < requests; number++) {
+            state.loadTracker().add(new TargetName(name), 0, 0, false, true, 0, now);
+        }
+    }
+
+    @Test
+    void aTargetThatBecomesWarmGetsTwoRequestsAtATimeUntilItAnswers() {
+        apply(0, coldFor(3_000, fleet(1), 1));
+        run("t0", 2, 10_000);
+        assertThat(isCandidate("t0", 10_000)).isFalse();
+        assertThat(ramps.size()).isEqualTo(1);
+        assertThat(ramps.heldOff()).isEqualTo(1);
+        catalog.recordFirstEvent(address(target("t0", 1)), 10_000, true, 10_100);
+        assertThat(isCandidate("t0", 10_100)).isTrue();
+    }
+
+    @Test
+    void aTargetThatHasStartedWarmIsRamped() {
+        apply(0, fleet(1));
+        assertThat(ramps.size()).isZero();
+        apply(10_000, fleet(2));
+        assertThat(ramps.size()).isEqualTo(1);
+    }
+
+    /** After a power loss all targets become warm at almost the same time, and all of their capacity is needed. */
+    @Test
+    void thereIsNoRampIfMostTargetsStartTogether() {
+        apply(0, coldFor(7_000, fleet(1), 5));
+        catalog.candidates(SERVICE, Set.of(), 7_300);
+        assertThat(ramps.size()).isZero();
+        apply(20_000, coldFor(3_000, fleet(1), 2));
+        catalog.candidates(SERVICE, Set.of(), 23_300);
+        assertThat(ramps.size()).as("two of five").isEqualTo(2);
+    }
+
+    @Test
+    void aTargetThatComesBackFromEjectionIsRamped() {
+        apply(0, fleet(1));
+        TargetAddress target = address(target("t1", 1));
+        for (int failure = 0; failure < 3; failure++) {
+            catalog.recordFailure(target, 10_000);
+        }
+        assertThat(ramps.size()).isZero();
+        catalog.recordSuccess(target, 11_000);
+        assertThat(ramps.size()).isEqualTo(1);
+    }
+
+    /** Otherwise a service whose targets are all at their limits would refuse what they could take. */
+    @Test
+    void aTargetAtItsLimitIsACandidateIfThereIsNoOther() {
+        apply(0, coldFor(3_000, fleet(1), 1));
+        run("t0", 2, 10_000);
+        assertThat(catalog.candidates(
+                        SERVICE,
+                        Set.of(new TargetName("t1"), new TargetName("t2"), new TargetName("t3"), new TargetName("t4")),
+                        10_000))
+                .hasSize(1);
+    }
+
+    @Test
+    void withoutARateThereIsNoRamp() {
+        perSecond = 0;
+        apply(0, coldFor(3_000, fleet(1), 1));
+        apply(10_000, fleet(2));
+        TargetAddress target = address(target("t1", 1));
+        for (int failure = 0; failure < 3; failure++) {
+            catalog.recordFailure(target, 10_000);
+        }
+        catalog.recordSuccess(target, 11_000);
+        assertThat(ramps.size()).isZero();
+    }
 }
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/ColdZoneReplay.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/ColdZoneReplay.java
@@ -25,6 +25,7 @@
 import org.bamboohatch.gateway.target.TargetAddress;
 import org.bamboohatch.gateway.target.TargetLimits;
 import org.bamboohatch.gateway.target.TargetPauses;
+import org.bamboohatch.gateway.target.TargetRamps;
 import org.bamboohatch.kernel.id.HostName;
 import org.bamboohatch.kernel.id.ServiceName;
 import org.bamboohatch.kernel.id.TargetName;
@@ -36,6 +37,7 @@
 import org.bamboohatch.routing.fleet.PlacementPolicy;
 import org.bamboohatch.routing.quarantine.RequestQuarantine;
 import org.bamboohatch.routing.retry.ColdPeriod;
+import org.bamboohatch.routing.retry.ConcurrencyRamp;
 
 /**
  * Replays a zone of 20 engines that comes back cold beside 40 busy ones, with 30 gateways of unequal load whose clocks differ
@@ -272,6 +274,12 @@
 
         private final ColdTargets.PendingReport farCold;
 
+        private final TargetRamps ramps = new TargetRamps(TargetRamps.Observer.Disabled.INSTANCE);
+
+        private final TargetRamps.PendingReport nearRamps = ramps.newReport();
+
+        private final TargetRamps.PendingReport farRamps = ramps.newReport();
+
         private Gateway(int number) {
             host = new HostName("gateway-" + number);
             zone = number % ZONES;
@@ -283,7 +291,8 @@
                     new TargetPauses(),
                     limits,
                     new RequestQuarantine(60_000, RequestQuarantine.Observer.Disabled.INSTANCE),
-                    cold);
+                    cold,
+                    ramps);
             catalog = new TargetCatalog(host, zone(zone), state);
             nearCold = cold.newReport();
             farCold = cold.newReport();
@@ -317,6 +326,7 @@
             int count = 1 + placement.get().prefillHelpers().size();
             double prefillMillis = ENGINE.prefillMillis(demand.promptTokens()) / count;
             TargetAddress address = catalog.find(placement.get().target());
+            long sentAt = clock();
             List<LoadTracker.TrackedRequest> tracked = new ArrayList<>();
             tracked.add(loadTracker.add(
                     address.target(),
@@ -333,22 +343,30 @@
             catalog.recordDispatch(address, clock());
             after(
                     linkMillis(zone, engine(address.target()).zone),
-                    () -> arrive(address, demand, placement.get(), tracked));
+                    () -> arrive(address, demand, placement.get(), tracked, sentAt));
         }
 
         private void arrive(
-                TargetAddress address, Demand demand, Placement placement, List<LoadTracker.TrackedRequest> tracked) {
+                TargetAddress address,
+                Demand demand,
+                Placement placement,
+                List<LoadTracker.TrackedRequest> tracked,
+                long sentAt) {
             double prefillMillis = ENGINE.prefillMillis(demand.promptTokens()) / tracked.size();
             Engine target = engine(placement.target());
             Arrival arrival = target.receive(prefillMillis);
             if (arrival == null) {
                 tracked.forEach(LoadTracker.TrackedRequest::end);
+                catalog.recordFailure(address, clock());
                 return;
             }
             placement.prefillHelpers().forEach(helper -> engine(helper).receive(prefillMillis));
             int firstEventAt = now + arrival.firstEventMillis;
             at(firstEventAt, () -> {
                 tracked.forEach(LoadTracker.TrackedRequest::beginDecoding);
+                boolean inTime = ConcurrencyRamp.isInTime(
+                        clock() - sentAt, placement.timeToFirstTokenMillis(), demand.targetLatencyMillis());
+                catalog.recordFirstEvent(address, sentAt, inTime, clock());
                 if (options.limited() && target.up) {
                     catalog.recordCold(address, Math.max(0, target.coldUntil - now), clock());
                 }
@@ -468,6 +486,9 @@
         for (Gateway from : gateways) {
             var load = complete ? from.nearLoad.takeAll() : from.nearLoad.takeChanges();
             var cold = complete ? from.nearCold.takeAll(from.clock()) : from.nearCold.takeChanges();
+            var ramps = complete ? from.nearRamps.takeAll(from.clock()) : from.nearRamps.takeChanges();
+            var farRamps =
+                    !farDue ? null : complete ? from.farRamps.takeAll(from.clock()) : from.farRamps.takeChanges();
             var farLoad = !farDue ? null : complete ? from.farLoad.takeAll() : from.farLoad.takeChanges();
             var farCold = !farDue ? null : complete ? from.farCold.takeAll(from.clock()) : from.farCold.takeChanges();
             for (Gateway to : gateways) {
@@ -480,6 +501,8 @@
                     to.loadTracker.applyReport(from.host.value(), near ? load : farLoad, to.clock());
                     (near ? cold : farCold)
                             .forEach(statement -> to.cold.apply(moved(statement, difference), to.clock()));
+                    (near ? ramps : farRamps)
+                            .forEach(statement -> to.ramps.apply(moved(statement, difference), to.clock()));
                 });
             }
         }
@@ -493,6 +516,21 @@
                         statement.period().statedAt() + difference));
     }
 
+    private static TargetRamps.Statement moved(TargetRamps.Statement statement, long difference) {
+        ConcurrencyRamp ramp = statement.ramp();
+        return new TargetRamps.Statement(
+                statement.target(),
+                new ConcurrencyRamp(
+                        ramp.limit(),
+                        ramp.neededAt() + difference,
+                        moved(ramp.increasedAt(), difference),
+                        moved(ramp.decreasedAt(), difference)));
+    }
+
+    private static long moved(long time, long difference) {
+        return time == Long.MIN_VALUE ? time : time + difference;
+    }
+
     private boolean isLost() {
         boolean blackout = now >= RETURN_MS && now < options.lossUntil();
         return blackout || random.nextDouble() < options.lostReports();
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/TargetCatalogTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/TargetCatalogTest.java
@@ -63,7 +63,7 @@
     @Test
     void successDoesNotEndPause() {
         catalog.recordPauseRequest(TARGET, 2_000, 100);
-        catalog.recordSuccess(TARGET);
+        catalog.recordSuccess(TARGET, 200);
         assertThat(catalog.acceptsRequests(TARGET, 1_000)).isFalse();
         assertThat(hasCandidate(1_000)).isFalse();
         assertThat(hasCandidate(2_100)).isTrue();
--- a/gateway/src/test/java/org/bamboohatch/gateway/load/GatewayLoadTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/load/GatewayLoadTest.java
@@ -35,7 +35,8 @@
             List.of(new GatewayLoad.GeneratedTrait(new RequestTrait("part"), 200)),
             List.of(new GatewayLoad.Limit(ENGINE, 7, 1.5, 300), new GatewayLoad.Limit(ENGINE, 8, null, 300)),
             List.of(new GatewayLoad.Pause(ENGINE, 7, 400)),
-            List.of(new GatewayLoad.ColdTime(ENGINE, 7, 3_000, 500)));
+            List.of(new GatewayLoad.ColdTime(ENGINE, 7, 3_000, 500)),
+            List.of(new GatewayLoad.Ramp(ENGINE, 7, 3, 40, 50, -1)));
 
     /** Decodes the report after a change of its encoded fields, which follow the name of the message type. */
     private static GatewayLoad decodeChanged(Consumer<Map<String, Object>> change) throws Exception {
@@ -56,14 +57,15 @@
     /** The gateways of an installation are updated one after the other. */
     @Test
     void aReportOfABuildWithFewerPartsIsUnderstood() throws Exception {
-        GatewayLoad decoded = decodeChanged(
-                fields -> fields.keySet().removeAll(List.of("crashes", "generated", "limits", "pauses", "cold")));
+        GatewayLoad decoded = decodeChanged(fields ->
+                fields.keySet().removeAll(List.of("crashes", "generated", "limits", "pauses", "cold", "ramps")));
         assertThat(decoded.gateway()).isEqualTo("gateway-1");
         assertThat(decoded.crashes()).isEmpty();
         assertThat(decoded.generated()).isEmpty();
         assertThat(decoded.limits()).isEmpty();
         assertThat(decoded.pauses()).isEmpty();
         assertThat(decoded.cold()).isEmpty();
+        assertThat(decoded.ramps()).isEmpty();
     }
 
     @Test
