Let no response from before a cold time end it

Cause: while a target becomes cold again, responses that it sent before are on their way from other zones. One that says that the target is not cold arrived after the announcement of the cold time and ended it, at this gateway and, through its reports, at all others.

Change: such a response counts only if its request was sent after the last statement of the target, as for the end of a named limit.

--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetCatalog.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetCatalog.java
@@ -305,10 +305,15 @@
      *
      * @param target address of the target
      * @param millis time in milliseconds, zero if it is cold no longer
+     * @param requestSentAt time at which the request was sent that it responds to, in milliseconds; empty if not known
      * @param now current time, in milliseconds
      */
-    void recordCold(TargetAddress target, long millis, long now) {
-        cold.record(target.toIncarnation(), ColdPeriod.of(millis, now), now);
+    void recordCold(TargetAddress target, long millis, OptionalLong requestSentAt, long now) {
+        if (millis > 0) {
+            cold.record(target.toIncarnation(), ColdPeriod.of(millis, now), now);
+        } else if (requestSentAt.isPresent()) {
+            cold.recordWarm(target.toIncarnation(), requestSentAt.getAsLong(), now);
+        }
     }
 
     /**
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetNotices.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetNotices.java
@@ -53,7 +53,7 @@
                     .write();
         }
         observeLimit(target, head, requestSentAt, now);
-        coldMillis(head).ifPresent(millis -> targets.recordCold(target, millis, now));
+        coldMillis(head).ifPresent(millis -> targets.recordCold(target, millis, requestSentAt, now));
         pauseMillis(head).ifPresent(millis -> {
             targets.recordPauseRequest(target, millis, now);
             log.line(Category.FAILURE, "paused")
--- a/gateway/src/main/java/org/bamboohatch/gateway/target/ColdTargets.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/ColdTargets.java
@@ -188,6 +188,20 @@
         }
     }
 
+    /**
+     * Applies a response in which a target says that it is not cold. It is ignored unless its request was sent after the last
+     * statement, as it may be older than that: while a target becomes cold again, responses from before are on their way.
+     *
+     * @param target the target
+     * @param requestSentAt time at which the request was sent, in milliseconds
+     * @param now current time, in milliseconds
+     */
+    public void recordWarm(TargetIncarnation target, long requestSentAt, long now) {
+        if (requestSentAt > periods.getOrDefault(target, ColdPeriod.NONE).statedAt()) {
+            record(target, ColdPeriod.of(0, now), now);
+        }
+    }
+
     /**
      * Applies the last statement of a target as another gateway has heard it, unless this one has heard a later one.
      *
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/ColdCatalogTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/ColdCatalogTest.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.bamboohatch.document.fleet.CallerLimits;
@@ -112,12 +113,22 @@
     @Test
     void aHeaderFieldMakesATargetColdAndEndsItsColdTime() {
         apply(0, target("a", 1).withColdMillis(0));
-        catalog.recordCold(address(target("a", 1)), 3_000, 1_000);
+        catalog.recordCold(address(target("a", 1)), 3_000, OptionalLong.of(900), 1_000);
         assertThat(isCold("a", 2_000)).isTrue();
-        catalog.recordCold(address(target("a", 1)), 0, 2_500);
+        catalog.recordCold(address(target("a", 1)), 0, OptionalLong.of(2_100), 2_500);
         assertThat(isCold("a", 2_500)).isFalse();
     }
 
+    /** While a target becomes cold again, responses from before are on their way from other zones. */
+    @Test
+    void aResponseToAnEarlierRequestDoesNotEndAColdTime() {
+        apply(0, target("a", 1).withColdMillis(0));
+        apply(10_000, target("a", 1).withColdMillis(5_000));
+        catalog.recordCold(address(target("a", 1)), 0, OptionalLong.of(9_980), 10_005);
+        catalog.recordCold(address(target("a", 1)), 0, OptionalLong.empty(), 10_006);
+        assertThat(isCold("a", 10_010)).isTrue();
+    }
+
     /** A target whose announcement says nothing, as through control of the previous build. */
     @Test
     void anIncarnationThatIsNewToAKnownServiceIsColdForTheConfiguredTime() {
@@ -141,7 +152,7 @@
     void withoutARateNothingIsLimited() {
         perSecond = 0;
         apply(0, target("a", 1).withColdMillis(4_000));
-        catalog.recordCold(address(target("a", 1)), 4_000, 100);
+        catalog.recordCold(address(target("a", 1)), 4_000, OptionalLong.of(50), 100);
         for (int request = 0; request < 10; request++) {
             assertThat(catalog.candidates(SERVICE, Set.of(), 200)).hasSize(1);
             catalog.recordDispatch(address(target("a", 1)), 200);
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/ColdZoneReplay.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/ColdZoneReplay.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -368,7 +369,7 @@
                         clock() - sentAt, placement.timeToFirstTokenMillis(), demand.targetLatencyMillis());
                 catalog.recordFirstEvent(address, sentAt, inTime, clock());
                 if (options.limited() && target.up) {
-                    catalog.recordCold(address, Math.max(0, target.coldUntil - now), clock());
+                    catalog.recordCold(address, Math.max(0, target.coldUntil - now), OptionalLong.of(sentAt), clock());
                 }
             });
             double decodeMillis = demand.outputTokens() / 52.0 * ENGINE.decodePassMillis(5, 30_000);
