Bound nonsensical cold times and rates, and long prompts at cold engines

A cold time or rate beyond all use would have overflowed. A cold target that left the membership was logged as warm.

At most ten minutes of a cold time and 100,000 requests per second count. Incarnations that are no members are forgotten from 10,000 on.

ColdHelpersTest, ColdPeriodTest and ColdScheduleTest pass.

--- a/control/src/main/java/org/bamboohatch/control/membership/TargetRegistry.java
+++ b/control/src/main/java/org/bamboohatch/control/membership/TargetRegistry.java
@@ -69,6 +69,9 @@
         /**
          * Indicates whether an announcement means another cold time than the last change of the target, rather than the
          * same one that has counted down.
+         *
+         * @param renewed a later announcement of the target
+         * @param now current monotonic time, in milliseconds
          */
         boolean changesColdTime(TargetAnnouncement renewed, long now) {
             long renewedUntil = TargetRegistry.coldUntil(renewed, now);
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/ColdHelpers.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/ColdHelpers.java
@@ -29,8 +29,8 @@
      * @param candidates targets that may be selected
      * @param engine cost model of the targets, empty if they are not model engines
      * @param isCold indicates whether a target is cold
-     * @return the placement; among warm targets if the best one has a cold helper, or at a single cold target if there is no
-     *     such placement
+     * @return the placement; among warm targets if the best one has a cold helper. If all candidates are cold, it is at a
+     *     single one, unless the prompt is so long that the first event would be late even at the speed of a warm one
      */
     static Optional<Placement> placeWithout(
             PlacementPolicy policy,
@@ -45,8 +45,12 @@
         List<Candidate> warm = candidates.stream()
                 .filter(candidate -> !isCold.test(candidate.name()))
                 .toList();
-        return policy.place(demand, warm, engine).or(() -> candidates.stream()
+        if (!warm.isEmpty()) {
+            return policy.place(demand, warm, engine);
+        }
+        return candidates.stream()
                 .flatMap(candidate -> policy.place(demand, List.of(candidate), engine).stream())
-                .min(Comparator.comparingDouble(Placement::timeToFirstTokenMillis)));
+                .filter(placement -> placement.timeToFirstTokenMillis() <= demand.targetLatencyMillis())
+                .min(Comparator.comparingDouble(Placement::timeToFirstTokenMillis));
     }
 }
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetWarmUp.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetWarmUp.java
@@ -31,6 +31,9 @@
     /** Time within which targets start together, in milliseconds. */
     private static final long MASS_START_MS = 5_000;
 
+    /** Number of incarnations from which on those that are not members are forgotten; several times a large fleet. */
+    private static final int MAX_SEEN = 10_000;
+
     private final ColdTargets cold;
 
     private final TargetRamps ramps;
@@ -156,6 +159,9 @@
         boolean first = !seen.contains(incarnation);
         if (first) {
             seen.removeIf(other -> other.target().equals(target.target()));
+            if (seen.size() >= MAX_SEEN) {
+                seen.retainAll(startedAt.keySet());
+            }
             seen.add(incarnation);
         }
         if (target.coldMillis() != null) {
--- a/gateway/src/main/java/org/bamboohatch/gateway/target/ColdTargets.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/ColdTargets.java
@@ -56,7 +56,7 @@
         void onCold(TargetIncarnation target, long leftMillis, double perSecond);
 
         /**
-         * Invoked when the rate of a target is limited no longer.
+         * Invoked when the rate of a target that is still a member is limited no longer.
          *
          * @param target the target
          * @param now current time, in milliseconds
@@ -242,8 +242,8 @@
             limits.removeColdRate(target);
             if (rate != null) {
                 ended.add(target);
+                observer.onWarm(target, now);
             }
-            observer.onWarm(target, now);
         }
     }
 
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/ColdHelpersTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/ColdHelpersTest.java
@@ -32,7 +32,7 @@
 
     private static final Demand PROMPT = new Demand(300_000, 1_040, 8_024, 800);
 
-    private static final Demand LARGEST_PROMPT = new Demand(900_000, 1_040, 8_024, 800);
+    private static final Demand MEDIUM_PROMPT = new Demand(45_000, 1_040, 1_514, 500);
 
     private static List<Candidate> engines(int count) {
         return IntStream.range(0, count)
@@ -63,11 +63,17 @@
         assertThat(placement.prefillHelpers()).isSubsetOf(new TargetName("engine-2"), new TargetName("engine-3"));
     }
 
-    /** After a power loss all engines are cold; prompts that fit one of them are served at its rate. */
+    /** After a power loss all engines are cold; prompts that a single one reads in time are served at its rate. */
     @Test
     void aPromptIsPlacedAtASingleEngineIfAllAreCold() {
-        assertThat(place(PROMPT, 4, 4).orElseThrow().prefillHelpers()).isEmpty();
-        assertThat(place(LARGEST_PROMPT, 4, 4)).isEmpty();
+        assertThat(place(MEDIUM_PROMPT, 4, 0).orElseThrow().prefillHelpers()).isNotEmpty();
+        assertThat(place(MEDIUM_PROMPT, 4, 4).orElseThrow().prefillHelpers()).isEmpty();
+    }
+
+    /** A cold engine took 38 s for such a prompt, for longer than any caller waits. */
+    @Test
+    void aLongPromptIsNotSentToASingleColdEngine() {
+        assertThat(place(PROMPT, 4, 4)).isEmpty();
     }
 
     private static OptionalLong coldMillis(String value) {
--- a/routing/src/main/java/org/bamboohatch/routing/retry/ColdPeriod.java
+++ b/routing/src/main/java/org/bamboohatch/routing/retry/ColdPeriod.java
@@ -16,18 +16,22 @@
      */
     static final long TOLERANCE_MS = 250;
 
+    /** Longest cold time, in milliseconds; limits the effect of a nonsensical value. */
+    private static final long MAX_COLD_MS = 600_000;
+
     /** Time for which a target of which nothing is known is cold. */
     public static final ColdPeriod NONE = new ColdPeriod(Long.MIN_VALUE, Long.MIN_VALUE);
 
     /**
      * Creates what a target states.
      *
-     * @param coldMillis time for which the target is still cold, in milliseconds; zero if it is warm
+     * @param coldMillis time for which the target is still cold, in milliseconds; zero if it is warm, at most ten minutes
+     *     count
      * @param statedAt time at which this was stated, in milliseconds
      * @return the statement
      */
     public static ColdPeriod of(long coldMillis, long statedAt) {
-        return new ColdPeriod(statedAt + Math.max(0, coldMillis), statedAt);
+        return new ColdPeriod(statedAt + Math.max(0, Math.min(MAX_COLD_MS, coldMillis)), statedAt);
     }
 
     /**
--- a/routing/src/main/java/org/bamboohatch/routing/retry/ColdSchedule.java
+++ b/routing/src/main/java/org/bamboohatch/routing/retry/ColdSchedule.java
@@ -27,6 +27,9 @@
     /** Lowest rate, in requests per second; bounds the length of a slot. */
     private static final double MIN_RATE = 0.001;
 
+    /** Highest rate, in requests per second; more than a target that is warm takes. */
+    private static final double MAX_RATE = 100_000;
+
     private static final long MILLIS_PER_SECOND = 1_000;
 
     /**
@@ -47,7 +50,7 @@
      * @return the length in milliseconds
      */
     double slotMillis() {
-        double wholeRate = perSecond >= 1 ? Math.floor(perSecond) : Math.max(MIN_RATE, perSecond);
+        double wholeRate = perSecond >= 1 ? Math.floor(Math.min(MAX_RATE, perSecond)) : Math.max(MIN_RATE, perSecond);
         return (double) (MILLIS_PER_SECOND + USABLE_MS + SKEW_MS) / wholeRate;
     }
 
--- a/routing/src/main/java/org/bamboohatch/routing/retry/ConcurrencyRamp.java
+++ b/routing/src/main/java/org/bamboohatch/routing/retry/ConcurrencyRamp.java
@@ -110,7 +110,12 @@
         return new ConcurrencyRamp(Math.max(limit, other.limit), lastNeededAt, other.increasedAt, decreasedAt);
     }
 
-    /** Indicates whether one decrease followed another, rather than having the same reason. */
+    /**
+     * Indicates whether one decrease followed another, rather than having the same reason.
+     *
+     * @param decrease time of the one, in milliseconds, or {@link Long#MIN_VALUE}
+     * @param otherDecrease time of the other, in milliseconds, or {@link Long#MIN_VALUE}
+     */
     private static boolean isLater(long decrease, long otherDecrease) {
         return decrease != Long.MIN_VALUE
                 && (otherDecrease == Long.MIN_VALUE || decrease - otherDecrease > SAME_FAILURE_MS);
--- a/routing/src/test/java/org/bamboohatch/routing/retry/ColdPeriodTest.java
+++ b/routing/src/test/java/org/bamboohatch/routing/retry/ColdPeriodTest.java
@@ -54,4 +54,9 @@
         ColdPeriod period = ColdPeriod.of(1_000, 0).after(ColdPeriod.of(100, 1_050));
         assertThat(period.isCold(1_100)).isTrue();
     }
+
+    @Test
+    void anEndlessColdTimeCountsAsTenMinutes() {
+        assertThat(ColdPeriod.of(Long.MAX_VALUE, 1_000).endsAt()).isEqualTo(601_000);
+    }
 }
--- a/routing/src/test/java/org/bamboohatch/routing/retry/ColdScheduleTest.java
+++ b/routing/src/test/java/org/bamboohatch/routing/retry/ColdScheduleTest.java
@@ -113,4 +113,12 @@
                 .orElse(0);
         assertThat(most).isGreaterThan(6);
     }
+
+    /** A rate beyond all need, which an operator may write for none. */
+    @Test
+    void anInfiniteRateDoesNotHoldRequestsOff() {
+        ColdSchedule schedule = ColdSchedule.of(Double.POSITIVE_INFINITY, 10_000);
+        assertThat(schedule.beginOf(schedule.nextSlot(slot -> slot % 30 == 0, 5_000)))
+                .isLessThanOrEqualTo(5_000);
+    }
 }
