--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetCatalog.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetCatalog.java
@@ -14,16 +14,19 @@
 import org.bamboohatch.gateway.configuration.FleetView;
 import org.bamboohatch.gateway.load.ExchangedState;
 import org.bamboohatch.gateway.load.LoadTracker;
+import org.bamboohatch.gateway.target.ColdTargets;
 import org.bamboohatch.gateway.target.LeavingTargets;
 import org.bamboohatch.gateway.target.TargetAddress;
 import org.bamboohatch.gateway.target.TargetLimits;
 import org.bamboohatch.gateway.target.TargetPauses;
+import org.bamboohatch.gateway.target.TargetRamps;
 import org.bamboohatch.kernel.id.HostName;
 import org.bamboohatch.kernel.id.ServiceName;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.id.ZoneName;
 import org.bamboohatch.protocol.message.TargetAnnouncement;
 import org.bamboohatch.routing.fleet.Candidate;
+import org.bamboohatch.routing.retry.ColdPeriod;
 import org.bamboohatch.routing.retry.TargetHealth;
 
 /** The known targets, their load and their availability; confined to the callers' event loop. */
@@ -45,6 +48,12 @@
 
     private final TargetPauses pauses;
 
+    private final ColdTargets cold;
+
+    private final TargetRamps ramps;
+
+    private final TargetWarmUp warmUp;
+
     /** Observed health by address; the address includes the incarnation, so a restarted target starts anew. */
     private final Map<TargetAddress, TargetHealth> health = new HashMap<>();
 
@@ -74,6 +83,9 @@
         this.leaving = state.leavingTargets();
         this.pauses = state.pauses();
         this.limits = state.limits();
+        this.cold = state.coldTargets();
+        this.ramps = state.ramps();
+        this.warmUp = new TargetWarmUp(cold, ramps);
     }
 
     /**
@@ -85,6 +97,7 @@
      */
     Set<TargetAddress> apply(FleetView nextView, long now) {
         view = nextView;
+        warmUp.apply(nextView, now);
         Set<TargetAddress> present = new HashSet<>();
         members.clear();
         for (TargetAnnouncement target : nextView.targets().values()) {
@@ -118,7 +131,7 @@
 
     /**
      * Returns the targets that a request may be sent to. Those that are leaving, paused, at their limit or in an evacuated
-     * zone are omitted; ejected ones are omitted unless all others are ejected too.
+     * zone are omitted; ejected ones and those whose concurrency is limited because they have started are omitted unless no other is left.
      *
      * @param service the service of the request
      * @param excluded targets that are not considered
@@ -126,9 +139,18 @@
      * @return the candidates for placement
      */
     List<Candidate> candidates(ServiceName service, Set<TargetName> excluded, long now) {
-        List<KnownTarget> all = members.getOrDefault(service, List.of()).stream()
-                .filter(member -> mayBeSentTo(member, excluded, now))
+        warmUp.advance(now);
+        List<KnownTarget> accepting = members.getOrDefault(service, List.of()).stream()
+                .filter(member -> !excluded.contains(member.target().target()))
+                .filter(member -> isCandidate(member, now))
                 .toList();
+        List<KnownTarget> belowLimit = accepting.stream()
+                .filter(member -> !ramps.holdOff(
+                        member.address().toIncarnation(),
+                        loadTracker.load(member.target().target(), now).runs(),
+                        now))
+                .toList();
+        List<KnownTarget> all = belowLimit.isEmpty() ? accepting : belowLimit;
         List<KnownTarget> preferred = all.stream()
                 .filter(member -> health.getOrDefault(member.address(), TargetHealth.HEALTHY)
                         .isAvailable(now))
@@ -153,6 +175,20 @@
         return !excluded.contains(member.target().target()) && acceptsRequests(member.address(), now);
     }
 
+    /**
+     * Indicates whether a target accepts new requests, and counts those that cold targets are spared.
+     *
+     * @param member a target that is not excluded
+     * @param now current time, in milliseconds
+     */
+    private boolean isCandidate(KnownTarget member, long now) {
+        boolean accepted = acceptsRequests(member.address(), now);
+        if (!accepted) {
+            cold.countIfHeldOff(member.address().toIncarnation(), now);
+        }
+        return accepted;
+    }
+
     private Candidate toCandidate(KnownTarget candidate, long now) {
         TargetAnnouncement target = candidate.target();
         return new Candidate(
@@ -279,12 +315,70 @@
         return limits.recordNoLimit(target.toIncarnation(), requestSentAt, now);
     }
 
+    /**
+     * Records how long a target is still cold, as it states in a response.
+     *
+     * @param target address of the target
+     * @param millis time in milliseconds, zero if it is cold no longer
+     * @param requestSentAt time at which the request was sent that it responds to, in milliseconds; empty if not known
+     * @param now current time, in milliseconds
+     */
+    void recordCold(TargetAddress target, long millis, OptionalLong requestSentAt, long now) {
+        if (millis > 0) {
+            cold.record(target.toIncarnation(), ColdPeriod.of(millis, now), now);
+        } else if (requestSentAt.isPresent()) {
+            cold.recordWarm(target.toIncarnation(), requestSentAt.getAsLong(), now);
+        }
+    }
+
+    /**
+     * Indicates whether a target is cold, so that it takes a limited rate of requests.
+     *
+     * @param name name of a target
+     * @param now current time, in milliseconds
+     * @return whether it is known and cold
+     */
+    boolean isCold(TargetName name, long now) {
+        return isKnown(name) && cold.isCold(find(name).toIncarnation(), now);
+    }
+
+    /**
+     * Takes this gateway's share in the rate of a cold target for a memory command.
+     *
+     * @param target address of the target
+     * @param now current time, in milliseconds
+     * @return whether the command may be sent; always if the target is not cold
+     */
+    boolean acquireCommand(TargetAddress target, long now) {
+        if (limits.coldSendAt(target.toIncarnation(), now) > now) {
+            return false;
+        }
+        limits.recordCommand(target.toIncarnation(), now);
+        return true;
+    }
+
     void recordDispatch(TargetAddress target, long now) {
         limits.recordSend(target.toIncarnation(), now);
         updateHealth(target, health -> health.afterDispatch(now));
     }
 
-    void recordSuccess(TargetAddress target) {
+    /**
+     * Records the first event of a response, or the response of a plain service.
+     *
+     * @param target address of the target
+     * @param sentAt time at which the request was sent, in milliseconds
+     * @param inTime whether it is as early as that of a target at its full speed
+     * @param now current time, in milliseconds
+     */
+    void recordFirstEvent(TargetAddress target, long sentAt, boolean inTime, long now) {
+        ramps.recordResponse(target.toIncarnation(), sentAt, inTime, now);
+    }
+
+    void recordSuccess(TargetAddress target, long now) {
+        boolean wasEjected = health.getOrDefault(target, TargetHealth.HEALTHY).ejections() > 0;
+        if (wasEjected && cold.isLimitedService(target.toIncarnation())) {
+            warmUp.begin(target.toIncarnation(), now);
+        }
         updateHealth(target, TargetHealth::afterSuccess);
     }
 
@@ -312,6 +406,7 @@
     }
 
     void recordFailure(TargetAddress target, long now) {
+        ramps.recordFailure(target.toIncarnation(), now);
         updateHealth(target, health -> health.afterFailure(now));
     }
 }
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/GatewayLoad.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/GatewayLoad.java
@@ -7,7 +7,9 @@
 
 import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.annotation.JsonPropertyOrder;
+import org.bamboohatch.gateway.target.ColdTargets;
 import org.bamboohatch.gateway.target.TargetLimits;
+import org.bamboohatch.gateway.target.TargetRamps;
 import org.bamboohatch.kernel.id.RequestTrait;
 import org.bamboohatch.kernel.id.TargetIncarnation;
 import org.bamboohatch.kernel.id.TargetName;
@@ -16,6 +18,8 @@
 import org.bamboohatch.protocol.message.MessageCatalog;
 import org.bamboohatch.routing.fleet.Workload;
 import org.bamboohatch.routing.quarantine.TargetCrash;
+import org.bamboohatch.routing.retry.ColdPeriod;
+import org.bamboohatch.routing.retry.ConcurrencyRamp;
 
 /**
  * Load report that a gateway sends to another gateway. Reports may be lost or overtake each other.
@@ -30,6 +34,8 @@
  * @param generated suspected traits on which responses were generated
  * @param limits limits that targets have named
  * @param pauses pauses that targets have asked for
+ * @param cold cold times of targets
+ * @param ramps limits on the concurrent requests of targets that have started
  */
 public record GatewayLoad(
         String gateway,
@@ -41,7 +47,9 @@
         List<Crash> crashes,
         List<GeneratedTrait> generated,
         List<Limit> limits,
-        List<Pause> pauses)
+        List<Pause> pauses,
+        List<ColdTime> cold,
+        List<Ramp> ramps)
         implements Message {
 
     /** Suspects in one piece of a crash, so that several pieces fit into a datagram. */
@@ -55,6 +63,8 @@
         generated = generated == null ? List.of() : List.copyOf(generated);
         limits = limits == null ? List.of() : List.copyOf(limits);
         pauses = pauses == null ? List.of() : List.copyOf(pauses);
+        cold = cold == null ? List.of() : List.copyOf(cold);
+        ramps = ramps == null ? List.of() : List.copyOf(ramps);
     }
 
     /**
@@ -176,6 +186,76 @@
         }
     }
 
+    /**
+     * Cold time of a target.
+     *
+     * @param target name of the target
+     * @param incarnation number of the incarnation
+     * @param leftMillis time for which the target is still cold, in milliseconds; negative if its cold time is over
+     * @param ageMillis time since the target said so, in milliseconds
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    @JsonPropertyOrder({"target", "incarnation", "leftMillis", "ageMillis"})
+    public record ColdTime(TargetName target, long incarnation, long leftMillis, long ageMillis) {
+
+        static ColdTime of(ColdTargets.Statement statement, long now) {
+            return new ColdTime(
+                    statement.target().target(),
+                    statement.target().number(),
+                    statement.period().endsAt() - now,
+                    now - statement.period().statedAt());
+        }
+
+        ColdTargets.Statement toStatement(long now) {
+            return new ColdTargets.Statement(
+                    new TargetIncarnation(target, incarnation), new ColdPeriod(now + leftMillis, now - ageMillis));
+        }
+    }
+
+    /**
+     * Limit on the concurrent requests of a target that has started. An age is negative if what it refers to has not
+     * happened.
+     *
+     * @param target name of the target
+     * @param incarnation number of the incarnation
+     * @param limit number of requests that the target may run for all gateways together
+     * @param neededAgeMillis time since the limit was last reached, in milliseconds
+     * @param increasedAgeMillis time since the last response in time, in milliseconds
+     * @param decreasedAgeMillis time since the last decrease, in milliseconds
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    @JsonPropertyOrder({"target", "incarnation", "limit", "neededAgeMillis", "increasedAgeMillis", "decreasedAgeMillis"
+    })
+    public record Ramp(
+            TargetName target,
+            long incarnation,
+            int limit,
+            long neededAgeMillis,
+            long increasedAgeMillis,
+            long decreasedAgeMillis) {
+
+        static Ramp of(TargetRamps.Statement statement, long now) {
+            ConcurrencyRamp ramp = statement.ramp();
+            return new Ramp(
+                    statement.target().target(),
+                    statement.target().number(),
+                    ramp.limit(),
+                    now - ramp.neededAt(),
+                    ramp.increasedAt() == Long.MIN_VALUE ? -1 : now - ramp.increasedAt(),
+                    ramp.decreasedAt() == Long.MIN_VALUE ? -1 : now - ramp.decreasedAt());
+        }
+
+        TargetRamps.Statement toStatement(long now) {
+            return new TargetRamps.Statement(
+                    new TargetIncarnation(target, incarnation),
+                    new ConcurrencyRamp(
+                            limit,
+                            now - neededAgeMillis,
+                            increasedAgeMillis < 0 ? Long.MIN_VALUE : now - increasedAgeMillis,
+                            decreasedAgeMillis < 0 ? Long.MIN_VALUE : now - decreasedAgeMillis));
+        }
+    }
+
     /**
      * Load at one target. Numbers are rounded and encoded as an array to keep reports small.
      *
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
@@ -27,9 +27,11 @@
 import org.apache.logging.log4j.Logger;
 import org.bamboohatch.gateway.GatewayClock;
 import org.bamboohatch.gateway.GatewaySettings;
+import org.bamboohatch.gateway.target.ColdTargets;
 import org.bamboohatch.gateway.target.LeavingTargets;
 import org.bamboohatch.gateway.target.TargetLimits;
 import org.bamboohatch.gateway.target.TargetPauses;
+import org.bamboohatch.gateway.target.TargetRamps;
 import org.bamboohatch.kernel.id.TargetIncarnation;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.id.ZoneName;
@@ -70,6 +72,10 @@
 
     private final TargetLimits limits;
 
+    private final ColdTargets coldTargets;
+
+    private final TargetRamps ramps;
+
     private final RequestQuarantine quarantine;
 
     private final EventLoop loop;
@@ -107,20 +113,26 @@
      * @param observations crashes of targets and the traits of requests that are suspected of them
      * @param limits limits that targets have named
      * @param pauses the end of each pause that a target has asked for, in milliseconds, by target
+     * @param cold cold times of targets
+     * @param ramps limits of targets that have started
      */
     private record Content(
             Map<TargetName, Workload> workloads,
             List<TargetIncarnation> leaving,
             Observations observations,
             List<TargetLimits.Statement> limits,
-            Map<TargetIncarnation, Long> pauses) {
+            Map<TargetIncarnation, Long> pauses,
+            List<ColdTargets.Statement> cold,
+            List<TargetRamps.Statement> ramps) {
 
         boolean isEmpty() {
             return workloads.isEmpty()
                     && leaving.isEmpty()
                     && observations.isEmpty()
                     && limits.isEmpty()
-                    && pauses.isEmpty();
+                    && pauses.isEmpty()
+                    && cold.isEmpty()
+                    && ramps.isEmpty();
         }
     }
 
@@ -135,6 +147,10 @@
 
         private final TargetPauses.PendingReport pendingPauses = pauses.newReport();
 
+        private final ColdTargets.PendingReport pendingCold = coldTargets.newReport();
+
+        private final TargetRamps.PendingReport pendingRamps = ramps.newReport();
+
         private final Set<TargetIncarnation> pendingLeaving = new LinkedHashSet<>();
 
         /**
@@ -150,7 +166,9 @@
                     List.copyOf(pendingLeaving),
                     complete ? pendingObservations.takeAll(now) : pendingObservations.takeChanges(),
                     complete ? pendingLimits.takeAll(now) : pendingLimits.takeChanges(),
-                    complete ? pendingPauses.takeAll(now) : pendingPauses.takeChanges());
+                    complete ? pendingPauses.takeAll(now) : pendingPauses.takeChanges(),
+                    complete ? pendingCold.takeAll(now) : pendingCold.takeChanges(),
+                    complete ? pendingRamps.takeAll(now) : pendingRamps.takeChanges());
             pendingLeaving.clear();
             return content;
         }
@@ -181,6 +199,8 @@
         this.leavingTargets = state.leavingTargets();
         this.pauses = state.pauses();
         this.limits = state.limits();
+        this.coldTargets = state.coldTargets();
+        this.ramps = state.ramps();
         this.quarantine = state.quarantine();
         this.loop = loop;
         this.near = new Audience();
@@ -221,7 +241,7 @@
                 Network.parseAnnounced(address).ifPresent(present::add);
             }
         }
-        limits.setGateways(gateways.size());
+        limits.setGateways(gateways, settings.exchange());
         quarantine.setGateways(gateways, settings.exchange());
         peers.keySet().retainAll(present);
         present.forEach(address -> peers.computeIfAbsent(address, added -> {
@@ -291,6 +311,12 @@
         List<GatewayLoad.Pause> askedPauses = content.pauses().entrySet().stream()
                 .map(pause -> GatewayLoad.Pause.of(pause.getKey(), pause.getValue(), now))
                 .toList();
+        List<GatewayLoad.ColdTime> coldTimes = content.cold().stream()
+                .map(statement -> GatewayLoad.ColdTime.of(statement, now))
+                .toList();
+        List<GatewayLoad.Ramp> limitedRuns = content.ramps().stream()
+                .map(statement -> GatewayLoad.Ramp.of(statement, now))
+                .toList();
         int datagrams = IntStream.of(
                         1,
                         pages(targets, TARGETS_PER_REPORT),
@@ -298,7 +324,9 @@
                         pages(crashes, CRASHES_PER_REPORT),
                         pages(generated, TARGETS_PER_REPORT),
                         pages(namedLimits, TARGETS_PER_REPORT),
-                        pages(askedPauses, TARGETS_PER_REPORT))
+                        pages(askedPauses, TARGETS_PER_REPORT),
+                        pages(coldTimes, TARGETS_PER_REPORT),
+                        pages(limitedRuns, TARGETS_PER_REPORT))
                 .max()
                 .getAsInt();
         for (int datagram = 0; datagram < datagrams; datagram++) {
@@ -314,7 +342,9 @@
                             page(crashes, datagram, CRASHES_PER_REPORT),
                             page(generated, datagram, TARGETS_PER_REPORT),
                             page(namedLimits, datagram, TARGETS_PER_REPORT),
-                            page(askedPauses, datagram, TARGETS_PER_REPORT)));
+                            page(askedPauses, datagram, TARGETS_PER_REPORT),
+                            page(coldTimes, datagram, TARGETS_PER_REPORT),
+                            page(limitedRuns, datagram, TARGETS_PER_REPORT)));
             receivers.forEach(receiver -> socket.write(new DatagramPacket(Unpooled.wrappedBuffer(report), receiver)));
         }
         socket.flush();
@@ -352,6 +382,8 @@
         report.leaving().forEach(target -> leavingTargets.addReported(target.toIncarnation(), now));
         report.pauses().forEach(pause -> pauses.addReported(pause.toIncarnation(), now + pause.leftMillis(), now));
         report.limits().forEach(limit -> limits.apply(limit.toStatement(now), now));
+        report.cold().forEach(coldTime -> coldTargets.apply(coldTime.toStatement(now), now));
+        report.ramps().forEach(ramp -> ramps.apply(ramp.toStatement(now), now));
         quarantine.apply(
                 new Observations(
                         report.crashes().stream()
