Repeat calls to control less often while many wait for a leader

Cause: without a leader, a control process repeats each target's registration every 50 ms at one process after the other, for 900 ms. With 60 targets that announce themselves every 1.2 s these are up to 1,200 attempts a second, at processes that have just started and have a fraction of a core. In one restart of the code before, two of three control processes ran after 5.6 s, the first leader came after 7.4 s and lost its quorum, the next one came after 9.1 s.

Change: the delay before the next attempt grows with the number of calls that wait, from 50 ms for up to 15 of them to 250 ms. A gateway has at most two calls, so its polls are repeated as before.

--- a/protocol/src/main/java/org/bamboohatch/protocol/client/ControlClient.java
+++ b/protocol/src/main/java/org/bamboohatch/protocol/client/ControlClient.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 
 import org.bamboohatch.protocol.message.ControlReply;
@@ -26,6 +27,12 @@
     /** Delay before the next attempt unless another process was named as the leader, in milliseconds. */
     private static final long RETRY_DELAY_MS = 50;
 
+    /** Longest delay before the next attempt, so that a call with a timeout of a second has several attempts. */
+    private static final long MAX_RETRY_DELAY_MS = 250;
+
+    /** Number of calls that wait for their next attempt up to which they wait no longer than a single one. */
+    private static final int FEW_WAITING_CALLS = 8;
+
     private static final long NANOS_PER_MS = 1_000_000;
 
     private final Network network;
@@ -37,6 +44,9 @@
 
     private final Map<String, Link> links = new ConcurrentHashMap<>();
 
+    /** Number of calls that wait for their next attempt. */
+    private final AtomicInteger waitingCalls = new AtomicInteger();
+
     /** Address of the process that is assumed to be the leader. */
     private final AtomicReference<String> leader;
 
@@ -158,8 +168,27 @@
         List<String> known = addresses;
         int next = (known.indexOf(failed) + 1) % known.size();
         leader.compareAndSet(failed, hint.isEmpty() ? known.get(next) : hint);
-        long delay = hint.isEmpty() || hint.equals(failed) ? RETRY_DELAY_MS : 0;
-        network.after(Duration.ofMillis(delay), () -> sendAttempt(request, deadline, reply));
+        if (!hint.isEmpty() && !hint.equals(failed)) {
+            network.after(Duration.ZERO, () -> sendAttempt(request, deadline, reply));
+            return;
+        }
+        network.after(Duration.ofMillis(retryDelayMillis(waitingCalls.incrementAndGet())), () -> {
+            waitingCalls.decrementAndGet();
+            sendAttempt(request, deadline, reply);
+        });
+    }
+
+    /**
+     * Returns the delay before the next attempt of a call. While there is no leader, the attempts of all calls burden the
+     * processes that elect one: those of 60 targets, each every 50 ms, were 1,200 a second in the seconds after the
+     * programs had started on a fraction of a core, and leaders lost their quorum. So the more calls wait, the longer
+     * each of them waits.
+     *
+     * @param waiting number of calls that wait for their next attempt, including this one
+     * @return the delay in milliseconds
+     */
+    static long retryDelayMillis(int waiting) {
+        return Math.min(MAX_RETRY_DELAY_MS, RETRY_DELAY_MS * Math.max(1, waiting / FEW_WAITING_CALLS));
     }
 
     private Link link(String address) {
