--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetCatalog.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetCatalog.java
@@ -129,6 +129,11 @@
         return view.targets().containsKey(name);
     }
 
+    /** Applies the load reports of other gateways that have arrived, so that a decision does not rest on an older view. */
+    void applyArrivedReports() {
+        loadTracker.trigger().applyArrivedReports();
+    }
+
     /**
      * Returns the targets that a request may be sent to. Those that are leaving, paused, at their limit or in an evacuated
      * zone are omitted; ejected ones and those whose concurrency is limited because they have started are omitted unless no other is left.
@@ -139,6 +144,7 @@
      * @return the candidates for placement
      */
     List<Candidate> candidates(ServiceName service, Set<TargetName> excluded, long now) {
+        applyArrivedReports();
         warmUp.advance(now);
         List<KnownTarget> accepting = members.getOrDefault(service, List.of()).stream()
                 .filter(member -> !excluded.contains(member.target().target()))
@@ -278,6 +284,7 @@
      */
     void recordPauseRequest(TargetAddress target, long millis, long now) {
         pauses.add(target.toIncarnation(), millis, now);
+        loadTracker.trigger().reportSoon();
     }
 
     /**
@@ -288,7 +295,7 @@
      * @return whether it was not known to be leaving
      */
     boolean recordLeaving(TargetAddress target, long now) {
-        return leaving.add(target.toIncarnation(), now);
+        return reportIfChanged(leaving.add(target.toIncarnation(), now));
     }
 
     /**
@@ -300,7 +307,7 @@
      * @return whether the limit is new or has changed
      */
     boolean recordLimit(TargetAddress target, double perSecond, long now) {
-        return limits.recordLimit(target.toIncarnation(), perSecond, now);
+        return reportIfChanged(limits.recordLimit(target.toIncarnation(), perSecond, now));
     }
 
     /**
@@ -312,7 +319,14 @@
      * @return whether a limit has ended
      */
     boolean recordNoLimit(TargetAddress target, long requestSentAt, long now) {
-        return limits.recordNoLimit(target.toIncarnation(), requestSentAt, now);
+        return reportIfChanged(limits.recordNoLimit(target.toIncarnation(), requestSentAt, now));
+    }
+
+    private boolean reportIfChanged(boolean changed) {
+        if (changed) {
+            loadTracker.trigger().reportSoon();
+        }
+        return changed;
     }
 
     /**
@@ -329,6 +343,7 @@
         } else if (requestSentAt.isPresent()) {
             cold.recordWarm(target.toIncarnation(), requestSentAt.getAsLong(), now);
         }
+        loadTracker.trigger().reportSoon();
     }
 
     /**
