Replay the flood of the first installation with and without the queue

Load: 12 gateways, 54 engines in three zones; 3 s of usual load, 4 s with 13 prompts of 260,000 tokens a second, 5 s of few requests, 8 s with 133 short questions a second.

The replay takes the engines of an installation and phases of a load; the existing replays are unchanged. The simulated engines have no limit on slots, and callers neither leave nor retry.

--- a/gateway/src/test/java/org/bamboohatch/gateway/load/PlacementReplay.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/load/PlacementReplay.java
@@ -37,6 +37,9 @@
     /** Interval between the arrivals of one burst. */
     private static final int BURST_INTERVAL_MILLIS = 40;
 
+    /** Time after the last phase in which requests end. */
+    private static final int DRAIN_MILLIS = 15_000;
+
     private final List<TargetName> names = new ArrayList<>();
 
     private final Map<TargetName, SimulatedEngine> engines = new LinkedHashMap<>();
@@ -56,6 +59,11 @@
 
     private final PlacementPolicy policy;
 
+    private final EngineCostModel engine;
+
+    /** The waiting requests, empty if each request is sent at once. */
+    private final Optional<ReplayedQueues> queues;
+
     private final SplittableRandom random;
 
     private int refused;
@@ -68,6 +76,9 @@
         }
     }
 
+    /** Arrivals for some time: a second each of short, medium and long prompts. */
+    record Phase(int seconds, double shortPerSecond, double mediumPerSecond, double longPerSecond) {}
+
     /** Hosts, each of which belongs to one of the zones in turn. */
     record Fleet(int gateways, int engines, int zones) {
 
@@ -84,15 +95,23 @@
         }
     }
 
-    /** Results of both length classes. */
-    record Outcome(ClassOutcome shortRequests, ClassOutcome longRequests) {}
+    /** Results of the length classes. */
+    record Outcome(ClassOutcome shortRequests, ClassOutcome mediumRequests, ClassOutcome longRequests) {}
 
     PlacementReplay(PlacementPolicy policy, int engineCount, long seed) {
         this(policy, new Fleet(GATEWAYS, engineCount, 1), seed);
     }
 
     PlacementReplay(PlacementPolicy policy, Fleet fleet, long seed) {
+        this(policy, fleet, ENGINE, 0, seed);
+    }
+
+    PlacementReplay(PlacementPolicy policy, Fleet fleet, EngineCostModel engine, int maximumWaiting, long seed) {
         this.policy = policy;
+        this.engine = engine;
+        this.queues = maximumWaiting == 0
+                ? Optional.empty()
+                : Optional.of(new ReplayedQueues(fleet.gateways(), maximumWaiting, engine));
         this.fleet = fleet;
         int farGateways = fleet.gateways() - fleet.gateways() / fleet.zones();
         long interval = ReportSchedule.farIntervalMillis(farGateways);
@@ -101,7 +120,7 @@
         for (int number = 0; number < fleet.engines(); number++) {
             TargetName name = new TargetName("engine-" + number);
             names.add(name);
-            engines.put(name, new SimulatedEngine(ENGINE));
+            engines.put(name, new SimulatedEngine(engine));
         }
         for (int gateway = 0; gateway < fleet.gateways(); gateway++) {
             loadTrackers.add(new LoadTracker());
@@ -127,15 +146,51 @@
                 long tokens = Math.min(700_000, lognormal(154_000, 0.55));
                 longRequests.add(start(new Generation(now, tokens, 51 * 16, 3_000, 1_000), now));
             }
-            int time = now;
-            engines.values().forEach(engine -> engine.advance(time));
-            if (now % REPORT_INTERVAL_MILLIS == 0) {
-                exchangeReports(now);
-            }
+            advance(now);
         }
         // Requests of the last five seconds may not have ended.
         double countedUntil = seconds * MILLIS_PER_SECOND - 5_000;
-        return new Outcome(classOutcome(shortRequests, countedUntil), classOutcome(longRequests, countedUntil));
+        return new Outcome(
+                classOutcome(shortRequests, countedUntil),
+                classOutcome(List.of(), countedUntil),
+                classOutcome(longRequests, countedUntil));
+    }
+
+    /** Replays phases with the demand of the first installation, one after another, and a calm end. */
+    Outcome run(List<Phase> phases) {
+        List<Generation> shortRequests = new ArrayList<>();
+        List<Generation> mediumRequests = new ArrayList<>();
+        List<Generation> longRequests = new ArrayList<>();
+        int now = 0;
+        for (Phase phase : phases) {
+            for (int end = now + (int) (phase.seconds() * MILLIS_PER_SECOND); now < end; now++) {
+                double arrival = random.nextDouble() * MILLIS_PER_SECOND;
+                if (arrival < phase.shortPerSecond()) {
+                    long tokens = Math.min(23_800, lognormal(4_960, 0.8));
+                    shortRequests.add(start(new Generation(now, tokens, 38 * 33, 304, 250), now));
+                } else if (arrival < phase.shortPerSecond() + phase.mediumPerSecond()) {
+                    long tokens = Math.min(120_000, lognormal(45_000, 0.4));
+                    mediumRequests.add(start(new Generation(now, tokens, 38 * 16, 1_506, 600), now));
+                } else if (arrival < phase.shortPerSecond() + phase.mediumPerSecond() + phase.longPerSecond()) {
+                    long tokens = Math.min(900_000, lognormal(260_000, 0.4));
+                    longRequests.add(start(new Generation(now, tokens, 38 * 16, 4_010, 1_000), now));
+                }
+                advance(now);
+            }
+        }
+        for (int end = now + DRAIN_MILLIS; now < end; now++) {
+            advance(now);
+        }
+        return new Outcome(
+                classOutcome(shortRequests, now), classOutcome(mediumRequests, now), classOutcome(longRequests, now));
+    }
+
+    private void advance(int now) {
+        engines.values().forEach(each -> each.advance(now));
+        if (now % REPORT_INTERVAL_MILLIS == 0) {
+            exchangeReports(now);
+        }
+        queues.ifPresent(each -> each.examine(now, this::candidates, this::dispatch));
     }
 
     private static ClassOutcome classOutcome(List<Generation> generations, double countedUntil) {
@@ -158,42 +213,52 @@
 
     private Generation start(Generation generation, int now) {
         int gateway = random.nextInt(fleet.gateways());
+        if (queues.isPresent()) {
+            queues.get().add(gateway, generation, now, this::candidates, this::dispatch);
+            return generation;
+        }
+        Optional<Placement> placement =
+                policy.place(ReplayedQueues.demand(generation), candidates(gateway, now), Optional.of(engine));
+        if (placement.isEmpty()) {
+            refused++;
+            return generation;
+        }
+        dispatch(gateway, generation, placement.get(), now);
+        return generation;
+    }
+
+    private List<Candidate> candidates(int gateway, int now) {
         LoadTracker loadTracker = loadTrackers.get(gateway);
-        Demand demand = new Demand(
-                generation.promptTokens,
-                (long) generation.remainingOutputTokens,
-                generation.targetLatencyMillis,
-                generation.maximumInterTokenMillis);
-        List<Candidate> candidates = IntStream.range(0, names.size())
+        return IntStream.range(0, names.size())
                 .mapToObj(number -> new Candidate(
                         names.get(number),
                         fleet.sameZone(gateway, number),
-                        ENGINE.slots(),
+                        engine.slots(),
                         loadTracker.load(names.get(number), now),
                         selectionBias(gateway, names.get(number)),
                         1))
                 .toList();
-        Optional<Placement> placement = policy.place(demand, candidates, Optional.of(ENGINE));
-        if (placement.isEmpty()) {
-            refused++;
-            return generation;
-        }
-        int engineCount = placement.get().prefillHelpers().size() + 1;
-        double prefillMillis = ENGINE.prefillMillis(generation.promptTokens) / engineCount;
+    }
+
+    private void dispatch(int gateway, Generation generation, Placement placement, int now) {
+        LoadTracker loadTracker = loadTrackers.get(gateway);
+        Demand demand = ReplayedQueues.demand(generation);
+        int engineCount = placement.prefillHelpers().size() + 1;
+        double prefillMillis = engine.prefillMillis(generation.promptTokens) / engineCount;
         List<LoadTracker.TrackedRequest> tracked = new ArrayList<>();
         tracked.add(loadTracker.add(
-                placement.get().target(),
+                placement.target(),
                 generation.promptTokens,
-                placement.get().targetMemoryTokens(demand),
+                placement.targetMemoryTokens(demand),
                 demand.hasStrictInterTokenLatency(),
                 true,
                 prefillMillis,
                 now));
         for (int helper = 0; helper < engineCount - 1; helper++) {
-            List<Placement.Allocation> allocations = placement.get().allocations();
+            List<Placement.Allocation> allocations = placement.allocations();
             long reservedTokens =
                     helper < allocations.size() ? allocations.get(helper).tokens() : 0;
-            TargetName name = placement.get().prefillHelpers().get(helper);
+            TargetName name = placement.prefillHelpers().get(helper);
             tracked.add(loadTracker.add(
                     name, generation.promptTokens / engineCount, reservedTokens, false, false, prefillMillis, now));
         }
@@ -201,9 +266,8 @@
         generation.onEnd = () -> tracked.forEach(LoadTracker.TrackedRequest::end);
         SimulatedEngine.send(
                 generation,
-                engines.get(placement.get().target()),
-                placement.get().prefillHelpers().stream().map(engines::get).toList());
-        return generation;
+                engines.get(placement.target()),
+                placement.prefillHelpers().stream().map(engines::get).toList());
     }
 
     private static double selectionBias(int gateway, TargetName name) {
@@ -219,6 +283,11 @@
             for (int to = 0; to < fleet.gateways(); to++) {
                 if (to != from) {
                     loadTrackers.get(to).applyReport("gateway-" + from, fleet.sameZone(from, to) ? near : far, now);
+                    if (farDue || fleet.sameZone(from, to)) {
+                        int sender = from;
+                        int receiver = to;
+                        queues.ifPresent(each -> each.report(sender, receiver, this::candidates, now));
+                    }
                 }
             }
         }
@@ -229,6 +298,6 @@
     }
 
     int refused() {
-        return refused;
+        return refused + queues.map(ReplayedQueues::refused).orElse(0);
     }
 }
