Let generations wait at a gateway until engines can begin them

Waiting requests are examined when a request ends, when a response begins, and every 25 ms (with jitter) while something waits. Callers that leave, deadlines and the stop of the gateway end the wait; the request is then refused as not run. Further attempts and resumed streams are sent at once, as before. The placement that was decided is used for the attempt, so that a request is placed once only.

Result: the failure tests (a caller that leaves, a gateway that stops, a short question beside waiting prompts) pass; without the setting, the request path has one comparison more.

--- a/gateway/src/main/java/org/bamboohatch/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/GatewayMetrics.java
@@ -7,12 +7,13 @@
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
+import org.bamboohatch.kernel.id.ServiceName;
 import org.bamboohatch.routing.LengthClass;
 import org.bamboohatch.routing.fleet.Demand;
 
 /**
- * Counters, gauges and histograms of a gateway. Labels are length classes, outcomes and error codes only, so that the
- * number of time series does not grow with the number of client accounts.
+ * Counters, gauges and histograms of a gateway. Labels are length classes, outcomes, error codes, reasons and
+ * services only, so that the number of time series does not grow with the number of client accounts.
  */
 public final class GatewayMetrics {
 
@@ -100,6 +101,47 @@
                 .increment();
     }
 
+    /**
+     * Records how long a request has waited at the gateway before it was sent or ended.
+     *
+     * @param demand demand of the request, which determines its length label
+     * @param waitedMillis time since the arrival of the request, in milliseconds
+     */
+    public void recordWait(Demand demand, long waitedMillis) {
+        Timer.builder("gateway.waited")
+                .description("time for which requests waited until engines could begin them")
+                .serviceLevelObjectives(BUCKETS)
+                .tag(LENGTH_LABEL, lengthLabel(demand))
+                .register(registry)
+                .record(Duration.ofMillis(waitedMillis));
+    }
+
+    /**
+     * Counts a request that was refused because of the load of the engines.
+     *
+     * @param reason label of the reason
+     */
+    public void recordOverload(String reason) {
+        Counter.builder("gateway.overloaded")
+                .description("requests that were refused because of the load of the engines")
+                .tag("reason", reason)
+                .register(registry)
+                .increment();
+    }
+
+    /**
+     * Registers a gauge of the waiting requests of a service.
+     *
+     * @param service name of the service
+     * @param value returns the current number
+     */
+    public void registerWaiting(ServiceName service, Supplier<Number> value) {
+        Gauge.builder("gateway.waiting", value)
+                .description("requests that wait until engines can begin them")
+                .tag("service", service.value())
+                .register(registry);
+    }
+
     /** Counts a retry that was charged to a retry budget. */
     public void recordRetry() {
         Counter.builder("gateway.repeats")
--- a/gateway/src/main/java/org/bamboohatch/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/GatewaySettings.java
@@ -23,6 +23,7 @@
  * @param promptQuarantineMillis time for which the crash of a target counts against the prompt part or the request that
  *     caused it, which is refused while several crashes count against it, in milliseconds
  * @param stopMillis maximum time from the signal to stop until the process stops serving requests, in milliseconds
+ * @param maximumWaitingRequests number of generations of a service that may wait for engines; zero to send each at once
  */
 public record GatewaySettings(
         @Setting(description = "name of the host") HostName host,
@@ -96,7 +97,16 @@
                 min = 0,
                 max = 600_000,
                 fallback = "30000")
-        long stopMillis) {
+        long stopMillis,
+
+        @Setting(
+                description =
+                        "generations of a service that may wait until engines can begin them; 0 to send each at once",
+                unit = "requests",
+                min = 0,
+                max = 10_000,
+                fallback = "0")
+        int maximumWaitingRequests) {
 
     /** Default of {@link #promptQuarantineMillis}. */
     public static final long DEFAULT_PROMPT_QUARANTINE_MS = 600_000;
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/AttemptDispatcher.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/AttemptDispatcher.java
@@ -10,6 +10,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.bamboohatch.document.fleet.EngineCostModel;
+import org.bamboohatch.document.fleet.FleetService;
 import org.bamboohatch.gateway.Dialect;
 import org.bamboohatch.gateway.GatewayClock;
 import org.bamboohatch.gateway.GatewaySettings;
@@ -19,6 +20,7 @@
 import org.bamboohatch.gateway.target.TargetConnectionPool;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.log.DecisionLog;
+import org.bamboohatch.routing.fleet.Candidate;
 import org.bamboohatch.routing.fleet.Demand;
 import org.bamboohatch.routing.fleet.Placement;
 import org.bamboohatch.routing.fleet.Placement.Allocation;
@@ -96,18 +98,31 @@
      *
      * @param admitted route, service and deadline of the request
      * @param demand what the request needs
+     * @param decided placement that was decided already at this time, empty to choose the targets
      * @param excluded targets that are not considered
      * @param now current time, in milliseconds
      * @return the occupied resources, empty if no target is suitable
      */
-    Optional<AttemptResources> place(Admitted admitted, Demand demand, Set<TargetName> excluded, long now) {
+    Optional<AttemptResources> place(
+            Admitted admitted, Demand demand, Optional<Placement> decided, Set<TargetName> excluded, long now) {
         Optional<EngineCostModel> engine =
                 demand.isGeneration() ? admitted.service().engineCostModel() : Optional.empty();
-        return PlacementPolicy.PREDICTED
-                .place(demand, targets.candidates(admitted.service().name(), excluded, now), engine)
+        return decided.or(() -> PlacementPolicy.PREDICTED.place(
+                        demand, targets.candidates(admitted.service().name(), excluded, now), engine))
                 .map(placement -> occupy(placement, demand, engine, now));
     }
 
+    /**
+     * Returns the engines that a request that was not sent yet may be sent to.
+     *
+     * @param service the service of the request
+     * @param now current time, in milliseconds
+     * @return the engines and their load
+     */
+    List<Candidate> candidates(FleetService service, long now) {
+        return targets.candidates(service.name(), Set.of(), now);
+    }
+
     /**
      * Adds the load of a placement to the load tracker and creates its memory reservation.
      *
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/ForwardedRequest.java
@@ -20,6 +20,7 @@
 import org.bamboohatch.kernel.outcome.ErrorCode;
 import org.bamboohatch.kernel.outcome.Refusal;
 import org.bamboohatch.routing.fleet.Demand;
+import org.bamboohatch.routing.fleet.Placement;
 import org.bamboohatch.routing.quarantine.RequestQuarantine;
 
 /** An admitted request, from its admission to the end of the response. */
@@ -73,19 +74,18 @@
         this.responder = responder;
         this.admitted = admitted;
         this.demand = demand;
-        Dialect dialect = forwarder.dialect();
-        RequestTraits traits = RequestTraits.of(request, admitted.account(), dialect.promptParts());
+        RequestTraits traits =
+                RequestTraits.of(request, admitted.account(), dialect().promptParts());
         this.monitor = new RequestMonitor(forwarder.quarantine(), forwarder.targets(), traits.all());
-        String requestId = request.headers().get(dialect.requestId());
+        String requestId = request.headers().get(dialect().requestId());
         this.log = new RequestLog(forwarder.decisionLog(), requestId, admitted, demand, traits);
     }
 
-    /** Starts the deadline timer and the first attempt. */
+    /** Starts the deadline timer. */
     void begin() {
         long now = GatewayClock.now();
         deadlineTimer =
                 loop().schedule(this::onDeadline, Math.max(0, admitted.deadline() - now), TimeUnit.MILLISECONDS);
-        sendToNextTarget();
     }
 
     InboundRequest request() {
@@ -116,24 +116,28 @@
         return forwarder.loop();
     }
 
-    /** Places the request at the currently best targets and begins an attempt there. */
-    private void sendToNextTarget() {
+    /**
+     * Begins an attempt.
+     *
+     * @param placement the targets, empty to place the request at the currently best ones
+     */
+    void sendTo(Optional<Placement> placement) {
         long now = GatewayClock.now();
         Optional<RequestQuarantine.Entry> quarantined = monitor.admit(now);
         if (quarantined.isPresent()) {
             giveUp(now, RequestMonitor.reason(quarantined.get()), RequestMonitor.refusal(quarantined.get(), now));
             return;
         }
-        Optional<AttemptResources> chosen = forwarder.dispatcher().place(admitted, demand, history.excluded(), now);
+        Optional<AttemptResources> chosen =
+                forwarder.dispatcher().place(admitted, demand, placement, history.excluded(), now);
         if (chosen.isEmpty()) {
             giveUp(now, "no target left");
             return;
         }
-        AttemptResources resources = chosen.get();
-        ForwardingAttempt attempt = new ForwardingAttempt(this, resources, forwarder.openResponseBuffer(), now);
+        ForwardingAttempt attempt = new ForwardingAttempt(this, chosen.get(), forwarder.openResponseBuffer(), now);
         current = attempt;
         log.placed(attempt, history.sends() + 1, admitted.deadline() - now);
-        resources.memory().acquire(engineWithoutMemory -> onMemoryReserved(attempt, engineWithoutMemory));
+        attempt.resources().memory().acquire(engineWithoutMemory -> onMemoryReserved(attempt, engineWithoutMemory));
     }
 
     /**
@@ -150,7 +154,7 @@
         if (engineWithoutMemory.isPresent()) {
             attempt.cancel();
             if (history.recordMemoryFailure(engineWithoutMemory.get())) {
-                sendToNextTarget();
+                sendTo(Optional.empty());
             } else {
                 giveUp(now, "no memory at " + engineWithoutMemory.get());
             }
@@ -162,12 +166,11 @@
     private void connect(ForwardingAttempt attempt, long now) {
         long remainingMillis = Math.max(1, admitted.deadline() - now);
         int connectTimeoutMillis = (int) Math.min(forwarder.dispatcher().connectTimeoutMillis(demand), remainingMillis);
-        boolean nonRepeatable = !admitted.route().mayRepeat();
         forwarder
                 .pool()
                 .acquire(
                         attempt.target(),
-                        nonRepeatable,
+                        !admitted.route().mayRepeat(),
                         true,
                         connectTimeoutMillis,
                         now,
@@ -192,7 +195,7 @@
             attempt.cancel();
             forwarder.targets().recordFailure(attempt.target(), GatewayClock.now());
             log.unreachable(attempt);
-            sendToNextTarget();
+            sendTo(Optional.empty());
             return;
         }
         // Tasks run after the input that has arrived, such as the end of the caller's connection, is processed.
@@ -225,9 +228,9 @@
         history.exclude(attempt.target().target());
         history.recordSend();
         forwarder.targets().recordDispatch(attempt.target(), now);
-        long remainingMillis = admitted.deadline() - now;
-        HttpHeaders headers =
-                forwarder.dispatcher().headers(request, admitted, demand, attempt.resources(), remainingMillis);
+        HttpHeaders headers = forwarder
+                .dispatcher()
+                .headers(request, admitted, demand, attempt.resources(), admitted.deadline() - now);
         framer.lastEventId().ifPresent(id -> headers.set(dialect().lastEventId(), id));
         attempt.send(connection, headers);
     }
@@ -249,7 +252,7 @@
             giveUp(now, "deadline passed");
         } else {
             history.exclude(attempt.target().target());
-            sendToNextTarget();
+            sendTo(Optional.empty());
         }
     }
 
@@ -274,7 +277,7 @@
             return;
         }
         if (spendRetry(now)) {
-            sendToNextTarget();
+            sendTo(Optional.empty());
         } else {
             giveUp(now, "refused by " + attempt.target().target());
         }
@@ -292,8 +295,9 @@
         if (responding) {
             return !events;
         }
-        boolean failed = head.status().code() >= TargetStatus.SERVER_ERROR;
-        return failed && admitted.route().mayRepeat() && mayRetry(GatewayClock.now());
+        return head.status().code() >= TargetStatus.SERVER_ERROR
+                && admitted.route().mayRepeat()
+                && mayRetry(GatewayClock.now());
     }
 
     /**
@@ -307,7 +311,7 @@
         forwarder.targets().recordFailure(attempt.target(), now);
         log.failedResponse(attempt, head.status().code());
         if (spendRetry(now)) {
-            sendToNextTarget();
+            sendTo(Optional.empty());
         } else {
             giveUp(
                     now,
@@ -332,7 +336,7 @@
         }
         boolean resumable = !responding || framer.lastEventId().isPresent();
         if (resumable && admitted.route().mayRepeat() && spendRetry(now)) {
-            sendToNextTarget();
+            sendTo(Optional.empty());
         } else {
             giveUp(now, reason);
         }
@@ -387,9 +391,9 @@
             return;
         }
         responding = true;
-        timeToFirstByteMillis = GatewayClock.now() - request.arrivedAt();
-        responder.head(head.status(), forwarder.dispatcher().responseHeaders(head.headers()), length);
         long now = GatewayClock.now();
+        timeToFirstByteMillis = now - request.arrivedAt();
+        responder.head(head.status(), forwarder.dispatcher().responseHeaders(head.headers()), length);
         forwarder.onResponseBegin(this, now);
         log.firstByte(attempt, request.arrivedAt(), now);
     }
@@ -414,12 +418,11 @@
     }
 
     private void giveUp(long now, String reason) {
-        Refusal refusal = Refusal.notRun(ErrorCode.NO_TARGET, "No target took the request: " + reason + ".")
-                .withRetryAfter(forwarder.returnDelay(request, admitted, now));
-        giveUp(now, reason, refusal);
+        Refusal refusal = Refusal.notRun(ErrorCode.NO_TARGET, "No target took the request: " + reason + ".");
+        giveUp(now, reason, refusal.withRetryAfter(forwarder.returnDelay(request, admitted, now)));
     }
 
-    private void giveUp(long now, String reason, Refusal refusal) {
+    void giveUp(long now, String reason, Refusal refusal) {
         fail(RequestFailure.of(reason, refusal, now >= admitted.deadline()));
     }
 
@@ -442,7 +445,7 @@
         }
     }
 
-    private void onDeadline() {
+    void onDeadline() {
         giveUp(GatewayClock.now(), "deadline passed");
         cancelAttempt();
     }
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
@@ -68,6 +68,8 @@
 
     private final GatewayMetrics metrics;
 
+    private final WaitingRequests waitingRequests;
+
     /** Monotonic time from which on requests are refused, in milliseconds. */
     private long admissionEndsAt = Long.MAX_VALUE;
 
@@ -108,6 +110,7 @@
         this.pool = new TargetConnectionPool(
                 loop, dialect.requestId(), new TargetNotices(dialect, targets, log), buffers.responses());
         this.dispatcher = new AttemptDispatcher(settings, dialect, loop, targets, pool, state.loadTracker(), log);
+        this.waitingRequests = new WaitingRequests(settings, this, metrics);
     }
 
     /**
@@ -164,6 +167,16 @@
         List.copyOf(openRequests).forEach(forwarded -> forwarded.onProcessEnd(stoppingRefusal()));
     }
 
+    /**
+     * Indicates whether the gateway admits no further requests.
+     *
+     * @param now current time, in milliseconds
+     * @return whether it is stopping
+     */
+    boolean isStopping(long now) {
+        return now >= admissionEndsAt;
+    }
+
     static Refusal stoppingRefusal() {
         return Refusal.notRun(ErrorCode.NOT_READY, "The gateway is stopping.").withRetryAfter(STOPPING_RETRY_DELAY);
     }
@@ -171,7 +184,7 @@
     @Override
     public Listener begin(InboundRequest request, Responder responder) {
         GatewayClock now = GatewayClock.read();
-        if (now.monotonic() >= admissionEndsAt) {
+        if (isStopping(now.monotonic())) {
             return refuse(stoppingRefusal(), responder);
         }
         AdmissionResult result = requestAdmission.decide(request, configuration.view(), configuration.ageMillis(now));
@@ -194,6 +207,7 @@
         ForwardedRequest forwarded = new ForwardedRequest(this, request, responder, admitted, demand);
         openRequests.add(forwarded);
         forwarded.begin();
+        waitingRequests.begin(forwarded, admitted);
         return forwarded;
     }
 
@@ -316,6 +330,7 @@
 
     void onResponseBegin(ForwardedRequest forwarded, long now) {
         metrics.recordFirstByte(forwarded.demand(), now - forwarded.request().arrivedAt());
+        waitingRequests.examineSoon();
     }
 
     void onEnd(ForwardedRequest forwarded, String outcome) {
@@ -323,6 +338,7 @@
         metrics.recordEnd(
                 forwarded.demand(), outcome, tookMillis, forwarded.framer().longestInterTokenMillis());
         openRequests.remove(forwarded);
+        waitingRequests.onEnd(forwarded);
     }
 
     DecisionLog decisionLog() {
--- a/gateway/src/test/java/org/bamboohatch/gateway/configuration/FleetStoreTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/configuration/FleetStoreTest.java
@@ -79,7 +79,8 @@
                 10_000,
                 3_500,
                 60_000,
-                1_000);
+                1_000,
+                0);
         ControlClient control = new ControlClient(network, List.of(address), Duration.ofSeconds(5));
         store = new FleetStore(settings, control, network, () -> List.of(address));
     }
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
@@ -97,6 +97,15 @@
     }
 
     GatewayHarness(GatewayBuffers buffers, FakeTarget... targets) throws Exception {
+        this(buffers, 0, targets);
+    }
+
+    /** Creates a gateway at which generations wait for engines, up to a number. */
+    GatewayHarness(int maximumWaiting, FakeTarget... targets) throws Exception {
+        this(GatewayBuffers.ofHeap(1L << 30), maximumWaiting, targets);
+    }
+
+    private GatewayHarness(GatewayBuffers buffers, int maximumWaiting, FakeTarget... targets) throws Exception {
         try (ServerSocket free = new ServerSocket(0);
                 DatagramSocket freeForDatagrams = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
             port = free.getLocalPort();
@@ -117,7 +126,8 @@
                 10_000,
                 3_500,
                 60_000,
-                1_000);
+                1_000,
+                maximumWaiting);
         ExchangedState state = ExchangedState.empty(settings);
         forwarder = new Forwarder(settings, Dialect.DEFAULT, loop, this, state, buffers, new GatewayMetrics(registry));
         exchange = new LoadExchange(settings, state, loop);
--- a/gateway/src/test/java/org/bamboohatch/gateway/load/LoadExchangeTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/load/LoadExchangeTest.java
@@ -72,7 +72,8 @@
                     10_000,
                     3_500,
                     60_000,
-                    1_000);
+                    1_000,
+                    0);
             ExchangedState state = ExchangedState.empty(settings);
             loadTracker = state.loadTracker();
             leavingTargets = state.leavingTargets();
