Tell other gateways what waits, and serve client accounts fairly

Cause: gateways learn of each other's dispatches up to 60 ms late, so gateways whose prompts wait would all use the same free engines. They also serve an account with a flood as often as all others together.

Change: load reports carry, as an optional field, the waiting requests by service and priority (prefill time, strict requests, time at which the next relaxed one has to be sent) and, in complete reports, the recently served tokens of up to 12 client accounts. The field is absent until a request of the gateway has been queued or counted; a gateway that hears nothing for three seconds takes nothing to be waiting. Within a priority, requests that can be in time come first, then those of the account with fewer tokens (factors of two, half-life 10 s), then those with less slack.

Not done: gateways compare slack with each other, not accounts.

--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/Forwarder.java
@@ -110,7 +110,7 @@
         this.pool = new TargetConnectionPool(
                 loop, dialect.requestId(), new TargetNotices(dialect, targets, log), buffers.responses());
         this.dispatcher = new AttemptDispatcher(settings, dialect, loop, targets, pool, state.loadTracker(), log);
-        this.waitingRequests = new WaitingRequests(settings, this, metrics);
+        this.waitingRequests = new WaitingRequests(settings, this, state.waitingWork(), metrics);
     }
 
     /**
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/WaitingRequests.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/WaitingRequests.java
@@ -17,6 +17,7 @@
 import org.bamboohatch.gateway.GatewayMetrics;
 import org.bamboohatch.gateway.GatewaySettings;
 import org.bamboohatch.gateway.forward.AdmissionResult.Admitted;
+import org.bamboohatch.gateway.load.WaitingWork;
 import org.bamboohatch.kernel.id.ServiceName;
 import org.bamboohatch.kernel.log.DecisionLog.Category;
 import org.bamboohatch.kernel.outcome.ErrorCode;
@@ -29,7 +30,6 @@
 import org.bamboohatch.routing.wait.DispatchPolicy;
 import org.bamboohatch.routing.wait.GenerationQueue;
 import org.bamboohatch.routing.wait.QueuedGeneration;
-import org.bamboohatch.routing.wait.WaitingElsewhere;
 import org.bamboohatch.routing.wait.WorkAhead;
 
 /**
@@ -48,6 +48,8 @@
 
     private final Forwarder forwarder;
 
+    private final WaitingWork waitingWork;
+
     private final GatewayMetrics metrics;
 
     /** The queues of the services whose requests have waited. */
@@ -86,11 +88,13 @@
      *
      * @param settings settings of this gateway
      * @param forwarder the state that all requests share
+     * @param waitingWork what waits at all gateways
      * @param metrics counters and histograms of this gateway
      */
-    WaitingRequests(GatewaySettings settings, Forwarder forwarder, GatewayMetrics metrics) {
+    WaitingRequests(GatewaySettings settings, Forwarder forwarder, WaitingWork waitingWork, GatewayMetrics metrics) {
         this.settings = settings;
         this.forwarder = forwarder;
+        this.waitingWork = waitingWork;
         this.metrics = metrics;
     }
 
@@ -122,7 +126,7 @@
                 add(forwarded, admitted, queued, policy, now);
                 logWaiting(forwarded, admitted, wait);
             } else {
-                apply(forwarded, decision, now);
+                apply(forwarded, queued, decision, now);
             }
             return;
         }
@@ -131,7 +135,7 @@
     }
 
     private DispatchPolicy policy(FleetService service, EngineCostModel engine, List<Candidate> candidates, long now) {
-        return new DispatchPolicy(engine, candidates, WaitingElsewhere.NONE);
+        return new DispatchPolicy(engine, candidates, waitingWork.elsewhere(service.name(), !entries.isEmpty(), now));
     }
 
     private QueuedGeneration queued(ForwardedRequest forwarded, Admitted admitted) {
@@ -167,18 +171,26 @@
         entries.put(forwarded, entry);
         queue.byNumber.put(queued.number(), entry);
         queue.generations.add(queued, policy, now).ifPresent(refused -> applyOutcome(queue, refused, now));
+        report(queue, policy, now);
         startTimer();
     }
 
+    private void report(ServiceQueue queue, DispatchPolicy policy, long now) {
+        waitingWork.setOwn(queue.service.name(), queue.generations.report(policy, now));
+    }
+
     private void applyOutcome(ServiceQueue queue, GenerationQueue.Outcome outcome, long now) {
         Entry entry = queue.byNumber.remove(outcome.request().number());
         entries.remove(entry.forwarded());
         metrics.recordWait(entry.forwarded().demand(), now - outcome.request().arrivedAt());
-        apply(entry.forwarded(), outcome.decision(), now);
+        apply(entry.forwarded(), outcome.request(), outcome.decision(), now);
     }
 
-    private void apply(ForwardedRequest forwarded, DispatchDecision decision, long now) {
+    private void apply(ForwardedRequest forwarded, QueuedGeneration queued, DispatchDecision decision, long now) {
         if (decision instanceof Dispatch dispatch) {
+            queued.account()
+                    .ifPresent(account ->
+                            waitingWork.recordServed(account, forwarded.demand().memoryTokens(), now));
             forwarded.sendTo(Optional.of(dispatch.placement()));
         } else if (decision instanceof Refuse refuse) {
             metrics.recordOverload(refuse.reason().label());
@@ -219,6 +231,9 @@
             entry.queue().byNumber.remove(entry.queued().number());
             metrics.recordWait(
                     forwarded.demand(), GatewayClock.now() - entry.queued().arrivedAt());
+            if (entry.queue().generations.isEmpty()) {
+                waitingWork.setOwn(entry.queue().service.name(), List.of());
+            }
         }
         examineSoon();
     }
@@ -272,9 +287,10 @@
                 return;
             }
             EngineCostModel engine = queue.service.engineCostModel().orElseThrow();
-            Optional<GenerationQueue.Outcome> outcome =
-                    queue.generations.next(policy(queue.service, engine, candidates, now), now);
+            DispatchPolicy policy = policy(queue.service, engine, candidates, now);
+            Optional<GenerationQueue.Outcome> outcome = queue.generations.next(policy, now);
             outcome.ifPresent(each -> applyOutcome(queue, each, now));
+            report(queue, policy, now);
             more = outcome.isPresent() && !queue.generations.isEmpty();
         }
     }
@@ -291,5 +307,6 @@
             entries.remove(entry.forwarded());
             entry.forwarded().sendTo(Optional.empty());
         }
+        waitingWork.setOwn(queue.service.name(), List.of());
     }
 }
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/ExchangedState.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/ExchangedState.java
@@ -14,13 +14,15 @@
  * @param pauses the pauses that targets have asked for
  * @param limits the limits that targets have named
  * @param quarantine the traits of requests that end targets
+ * @param waitingWork the requests that wait at gateways
  */
 public record ExchangedState(
         LoadTracker loadTracker,
         LeavingTargets leavingTargets,
         TargetPauses pauses,
         TargetLimits limits,
-        RequestQuarantine quarantine) {
+        RequestQuarantine quarantine,
+        WaitingWork waitingWork) {
 
     /**
      * Creates the state of a gateway that has not heard of any target.
@@ -34,6 +36,7 @@
                 new LeavingTargets(),
                 new TargetPauses(),
                 new TargetLimits(settings.host()),
-                new RequestQuarantine(settings.promptQuarantineMillis(), new QuarantineLog()));
+                new RequestQuarantine(settings.promptQuarantineMillis(), new QuarantineLog()),
+                new WaitingWork());
     }
 }
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/GatewayLoad.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/GatewayLoad.java
@@ -8,7 +8,9 @@
 import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.annotation.JsonPropertyOrder;
 import org.bamboohatch.gateway.target.TargetLimits;
+import org.bamboohatch.kernel.id.AccountName;
 import org.bamboohatch.kernel.id.RequestTrait;
+import org.bamboohatch.kernel.id.ServiceName;
 import org.bamboohatch.kernel.id.TargetIncarnation;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.id.ZoneName;
@@ -16,6 +18,7 @@
 import org.bamboohatch.protocol.message.MessageCatalog;
 import org.bamboohatch.routing.fleet.Workload;
 import org.bamboohatch.routing.quarantine.TargetCrash;
+import org.bamboohatch.routing.wait.WaitingElsewhere;
 
 /**
  * Load report that a gateway sends to another gateway. Reports may be lost or overtake each other.
@@ -30,6 +33,7 @@
  * @param generated suspected traits on which responses were generated
  * @param limits limits that targets have named
  * @param pauses pauses that targets have asked for
+ * @param waiting requests that wait at the gateway, or null if they are unchanged or the gateway holds none back
  */
 public record GatewayLoad(
         String gateway,
@@ -41,7 +45,8 @@
         List<Crash> crashes,
         List<GeneratedTrait> generated,
         List<Limit> limits,
-        List<Pause> pauses)
+        List<Pause> pauses,
+        WaitingState waiting)
         implements Message {
 
     /** Suspects in one piece of a crash, so that several pieces fit into a datagram. */
@@ -176,6 +181,65 @@
         }
     }
 
+    /**
+     * What waits at the gateway, and what it has served to client accounts.
+     *
+     * @param requests the waiting requests by service and priority
+     * @param served tokens by client account, or null if they are unchanged
+     */
+    public record WaitingState(List<WaitingRequests> requests, List<ServedTokens> served) {
+
+        /** Copies the lists. */
+        public WaitingState {
+            requests = requests == null ? List.of() : List.copyOf(requests);
+            served = served == null ? null : List.copyOf(served);
+        }
+    }
+
+    /**
+     * Waiting requests of one service and priority.
+     *
+     * @param service name of the service
+     * @param priority their priority
+     * @param prefillMillis time that one engine would need for the prompts of the relaxed ones, in milliseconds
+     * @param strictRequests number of strict requests
+     * @param latestStartMillis time until the next relaxed one has to be sent to be in time, in milliseconds; negative if
+     *     it is late, null if there is none
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    @JsonPropertyOrder({"service", "priority", "prefillMillis", "strictRequests", "latestStartMillis"})
+    public record WaitingRequests(
+            ServiceName service, int priority, long prefillMillis, int strictRequests, Long latestStartMillis) {
+
+        static WaitingRequests of(ServiceName service, WaitingElsewhere.Report report, long now) {
+            double latestStart = report.relaxedLatestStart();
+            return new WaitingRequests(
+                    service,
+                    report.priority(),
+                    Math.round(report.prefillMillis()),
+                    report.strictRequests(),
+                    Double.isInfinite(latestStart) ? null : Math.round(latestStart) - now);
+        }
+
+        WaitingElsewhere.Report toReport(long now) {
+            return new WaitingElsewhere.Report(
+                    priority,
+                    prefillMillis,
+                    strictRequests,
+                    latestStartMillis == null ? Double.POSITIVE_INFINITY : now + latestStartMillis);
+        }
+    }
+
+    /**
+     * Tokens that the gateway has served to a client account recently.
+     *
+     * @param account name of the account
+     * @param tokens prompt and output tokens; older ones count less
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    @JsonPropertyOrder({"account", "tokens"})
+    public record ServedTokens(AccountName account, long tokens) {}
+
     /**
      * Load at one target. Numbers are rounded and encoded as an array to keep reports small.
      *
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -72,6 +73,8 @@
 
     private final RequestQuarantine quarantine;
 
+    private final WaitingWork waitingWork;
+
     private final EventLoop loop;
 
     /** Random number of this start of the process. */
@@ -107,20 +110,23 @@
      * @param observations crashes of targets and the traits of requests that are suspected of them
      * @param limits limits that targets have named
      * @param pauses the end of each pause that a target has asked for, in milliseconds, by target
+     * @param waiting the requests that wait at this gateway, empty if they are unchanged
      */
     private record Content(
             Map<TargetName, Workload> workloads,
             List<TargetIncarnation> leaving,
             Observations observations,
             List<TargetLimits.Statement> limits,
-            Map<TargetIncarnation, Long> pauses) {
+            Map<TargetIncarnation, Long> pauses,
+            Optional<GatewayLoad.WaitingState> waiting) {
 
         boolean isEmpty() {
             return workloads.isEmpty()
                     && leaving.isEmpty()
                     && observations.isEmpty()
                     && limits.isEmpty()
-                    && pauses.isEmpty();
+                    && pauses.isEmpty()
+                    && waiting.isEmpty();
         }
     }
 
@@ -135,6 +141,8 @@
 
         private final TargetPauses.PendingReport pendingPauses = pauses.newReport();
 
+        private final WaitingWork.PendingReport pendingWaiting = waitingWork.newReport();
+
         private final Set<TargetIncarnation> pendingLeaving = new LinkedHashSet<>();
 
         /**
@@ -150,7 +158,8 @@
                     List.copyOf(pendingLeaving),
                     complete ? pendingObservations.takeAll(now) : pendingObservations.takeChanges(),
                     complete ? pendingLimits.takeAll(now) : pendingLimits.takeChanges(),
-                    complete ? pendingPauses.takeAll(now) : pendingPauses.takeChanges());
+                    complete ? pendingPauses.takeAll(now) : pendingPauses.takeChanges(),
+                    pendingWaiting.take(complete, now));
             pendingLeaving.clear();
             return content;
         }
@@ -182,6 +191,7 @@
         this.pauses = state.pauses();
         this.limits = state.limits();
         this.quarantine = state.quarantine();
+        this.waitingWork = state.waitingWork();
         this.loop = loop;
         this.near = new Audience();
         this.far = new Audience();
@@ -314,7 +324,8 @@
                             page(crashes, datagram, CRASHES_PER_REPORT),
                             page(generated, datagram, TARGETS_PER_REPORT),
                             page(namedLimits, datagram, TARGETS_PER_REPORT),
-                            page(askedPauses, datagram, TARGETS_PER_REPORT)));
+                            page(askedPauses, datagram, TARGETS_PER_REPORT),
+                            datagram == datagrams - 1 ? content.waiting().orElse(null) : null));
             receivers.forEach(receiver -> socket.write(new DatagramPacket(Unpooled.wrappedBuffer(report), receiver)));
         }
         socket.flush();
@@ -351,6 +362,7 @@
         loadTracker.applyReport(report.gateway(), workloads, now);
         report.leaving().forEach(target -> leavingTargets.addReported(target.toIncarnation(), now));
         report.pauses().forEach(pause -> pauses.addReported(pause.toIncarnation(), now + pause.leftMillis(), now));
+        waitingWork.apply(report.gateway(), report.waiting(), now);
         report.limits().forEach(limit -> limits.apply(limit.toStatement(now), now));
         quarantine.apply(
                 new Observations(
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/TargetCatalogTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/TargetCatalogTest.java
@@ -8,6 +8,7 @@
 import org.bamboohatch.gateway.configuration.FleetView;
 import org.bamboohatch.gateway.load.ExchangedState;
 import org.bamboohatch.gateway.load.LoadTracker;
+import org.bamboohatch.gateway.load.WaitingWork;
 import org.bamboohatch.gateway.target.LeavingTargets;
 import org.bamboohatch.gateway.target.TargetAddress;
 import org.bamboohatch.gateway.target.TargetLimits;
@@ -35,7 +36,8 @@
             new LeavingTargets(),
             new TargetPauses(),
             new TargetLimits(new HostName("gateway-1")),
-            new RequestQuarantine(60_000, RequestQuarantine.Observer.Disabled.INSTANCE));
+            new RequestQuarantine(60_000, RequestQuarantine.Observer.Disabled.INSTANCE),
+            new WaitingWork());
 
     private final TargetCatalog catalog = new TargetCatalog(new HostName("gateway-1"), new ZoneName("zone-a"), state);
 
--- a/gateway/src/test/java/org/bamboohatch/gateway/load/GatewayLoadTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/load/GatewayLoadTest.java
@@ -7,7 +7,9 @@
 
 import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import org.bamboohatch.kernel.id.AccountName;
 import org.bamboohatch.kernel.id.RequestTrait;
+import org.bamboohatch.kernel.id.ServiceName;
 import org.bamboohatch.kernel.id.TargetIncarnation;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.id.ZoneName;
@@ -23,6 +25,8 @@
 
     private static final TargetName ENGINE = new TargetName("engine-a");
 
+    private static final ServiceName SERVICE = new ServiceName("engines");
+
     private static final GatewayLoad REPORT = new GatewayLoad(
             "gateway-1",
             new ZoneName("zone-a"),
@@ -34,7 +38,12 @@
                     ENGINE, 7, 100, List.of(new RequestTrait("part")), TargetCrash.State.UNEXPLAINED)),
             List.of(new GatewayLoad.GeneratedTrait(new RequestTrait("part"), 200)),
             List.of(new GatewayLoad.Limit(ENGINE, 7, 1.5, 300), new GatewayLoad.Limit(ENGINE, 8, null, 300)),
-            List.of(new GatewayLoad.Pause(ENGINE, 7, 400)));
+            List.of(new GatewayLoad.Pause(ENGINE, 7, 400)),
+            new GatewayLoad.WaitingState(
+                    List.of(
+                            new GatewayLoad.WaitingRequests(SERVICE, 1, 7_000, 2, -30L),
+                            new GatewayLoad.WaitingRequests(SERVICE, 2, 0, 3, null)),
+                    List.of(new GatewayLoad.ServedTokens(new AccountName("oaxaca"), 260_000))));
 
     /** Decodes the report after a change of its encoded fields, which follow the name of the message type. */
     private static GatewayLoad decodeChanged(Consumer<Map<String, Object>> change) throws Exception {
@@ -55,13 +64,14 @@
     /** The gateways of an installation are updated one after the other. */
     @Test
     void aReportOfABuildWithFewerPartsIsUnderstood() throws Exception {
-        GatewayLoad decoded =
-                decodeChanged(fields -> fields.keySet().removeAll(List.of("crashes", "generated", "limits", "pauses")));
+        GatewayLoad decoded = decodeChanged(
+                fields -> fields.keySet().removeAll(List.of("crashes", "generated", "limits", "pauses", "waiting")));
         assertThat(decoded.gateway()).isEqualTo("gateway-1");
         assertThat(decoded.crashes()).isEmpty();
         assertThat(decoded.generated()).isEmpty();
         assertThat(decoded.limits()).isEmpty();
         assertThat(decoded.pauses()).isEmpty();
+        assertThat(decoded.waiting()).isNull();
     }
 
     @Test
--- a/gateway/src/test/java/org/bamboohatch/gateway/load/LoadExchangeTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/load/LoadExchangeTest.java
@@ -19,10 +19,12 @@
 import org.bamboohatch.gateway.target.TargetPauses;
 import org.bamboohatch.kernel.id.HostName;
 import org.bamboohatch.kernel.id.RequestTrait;
+import org.bamboohatch.kernel.id.ServiceName;
 import org.bamboohatch.kernel.id.TargetIncarnation;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.id.ZoneName;
 import org.bamboohatch.routing.quarantine.RequestQuarantine;
+import org.bamboohatch.routing.wait.WaitingElsewhere;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -56,6 +58,8 @@
 
         private final RequestQuarantine quarantine;
 
+        private final WaitingWork waitingWork;
+
         private final LoadExchange exchange;
 
         Gateway(String host, String zone) {
@@ -80,6 +84,7 @@
             pauses = state.pauses();
             limits = state.limits();
             quarantine = state.quarantine();
+            waitingWork = state.waitingWork();
             exchange = new LoadExchange(settings, state, loop);
         }
     }
@@ -137,6 +142,30 @@
         awaitOnLoop(() -> runsKnownTo(second) == 0);
     }
 
+    /** Guards against gateways in other zones that use the same free engines at the same moment. */
+    @Test
+    void waitingRequestsAreReported() throws Exception {
+        start();
+        ServiceName service = new ServiceName("engines");
+        onLoop(() -> {
+            first.waitingWork.setOwn(service, List.of(new WaitingElsewhere.Report(1, 7_000, 2, 3_500)));
+            return null;
+        });
+        awaitOnLoop(() -> second.waitingWork
+                        .elsewhere(service, true, GatewayClock.now())
+                        .reports()
+                        .size()
+                == 1);
+        onLoop(() -> {
+            first.waitingWork.setOwn(service, List.of());
+            return null;
+        });
+        awaitOnLoop(() -> second.waitingWork
+                .elsewhere(service, true, GatewayClock.now())
+                .reports()
+                .isEmpty());
+    }
+
     /** The report that was sent before the other gateway was known is made up for by the next complete one. */
     @Test
     void aLostReportIsCorrected() throws Exception {
--- a/gateway/src/test/java/org/bamboohatch/gateway/load/PlacementReplay.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/load/PlacementReplay.java
@@ -280,19 +280,23 @@
         for (int from = 0; from < fleet.gateways(); from++) {
             Map<TargetName, Workload> near = takeReport(nearReports.get(from), complete);
             Map<TargetName, Workload> far = farDue ? takeReport(farReports.get(from), complete) : Map.of();
+            GatewayLoad.WaitingState nearWaiting = takeWaiting(from, true, complete, now);
+            GatewayLoad.WaitingState farWaiting = farDue ? takeWaiting(from, false, complete, now) : null;
             for (int to = 0; to < fleet.gateways(); to++) {
                 if (to != from) {
                     loadTrackers.get(to).applyReport("gateway-" + from, fleet.sameZone(from, to) ? near : far, now);
-                    if (farDue || fleet.sameZone(from, to)) {
-                        int sender = from;
-                        int receiver = to;
-                        queues.ifPresent(each -> each.report(sender, receiver, this::candidates, now));
+                    if (queues.isPresent()) {
+                        queues.get().applyReport(from, to, fleet.sameZone(from, to) ? nearWaiting : farWaiting, now);
                     }
                 }
             }
         }
     }
 
+    private GatewayLoad.WaitingState takeWaiting(int gateway, boolean near, boolean complete, int now) {
+        return queues.map(each -> each.takeReport(gateway, near, complete, now)).orElse(null);
+    }
+
     private static Map<TargetName, Workload> takeReport(LoadTracker.PendingReport report, boolean complete) {
         return complete ? report.takeAll() : report.takeChanges();
     }
--- a/gateway/src/test/java/org/bamboohatch/gateway/load/ReplayedQueues.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/load/ReplayedQueues.java
@@ -9,6 +9,7 @@
 import org.bamboohatch.document.fleet.EngineCostModel;
 import org.bamboohatch.gateway.load.SimulatedEngine.Generation;
 import org.bamboohatch.kernel.id.AccountName;
+import org.bamboohatch.kernel.id.ServiceName;
 import org.bamboohatch.routing.fleet.Candidate;
 import org.bamboohatch.routing.fleet.Demand;
 import org.bamboohatch.routing.fleet.Placement;
@@ -16,8 +17,6 @@
 import org.bamboohatch.routing.wait.DispatchPolicy;
 import org.bamboohatch.routing.wait.GenerationQueue;
 import org.bamboohatch.routing.wait.QueuedGeneration;
-import org.bamboohatch.routing.wait.WaitingElsewhere;
-import org.bamboohatch.routing.wait.WaitingElsewhere.Report;
 
 /** The queues of the gateways of a replay. */
 final class ReplayedQueues {
@@ -31,14 +30,21 @@
 
     private static final double TIMEOUT_LONG_MILLIS = 15_000;
 
+    private static final ServiceName SERVICE = new ServiceName("engines");
+
     private static final int ACCOUNTS = 24;
 
     private final EngineCostModel engine;
 
     private final List<GenerationQueue> queues = new ArrayList<>();
 
-    /** What each gateway has heard from each other one, by receiver and sender. */
-    private final List<Map<Integer, List<Report>>> heard = new ArrayList<>();
+    private final List<WaitingWork> waitingWork = new ArrayList<>();
+
+    /** Changes to report to gateways of the same zone, by gateway. */
+    private final List<WaitingWork.PendingReport> nearReports = new ArrayList<>();
+
+    /** Changes to report to gateways in other zones, by gateway. */
+    private final List<WaitingWork.PendingReport> farReports = new ArrayList<>();
 
     private final Map<Long, Generation> generations = new HashMap<>();
 
@@ -58,7 +64,9 @@
         this.engine = engine;
         for (int gateway = 0; gateway < gateways; gateway++) {
             queues.add(new GenerationQueue(maximum));
-            heard.add(new HashMap<>());
+            waitingWork.add(new WaitingWork());
+            nearReports.add(waitingWork.get(gateway).newReport());
+            farReports.add(waitingWork.get(gateway).newReport());
         }
     }
 
@@ -88,6 +96,7 @@
             DispatchDecision decision = policy.decide(request, queue.work(policy), now);
             if (decision instanceof DispatchDecision.Wait) {
                 queue.add(request, policy, now).ifPresent(outcome -> refused++);
+                waitingWork.get(gateway).setOwn(SERVICE, queue.report(policy, now));
             } else {
                 apply(gateway, new GenerationQueue.Outcome(request, decision), now, dispatcher);
             }
@@ -98,18 +107,20 @@
     }
 
     private DispatchPolicy policy(int gateway, Candidates candidates, int now) {
-        List<Report> reports =
-                heard.get(gateway).values().stream().flatMap(List::stream).toList();
-        return new DispatchPolicy(engine, candidates.at(gateway, now), new WaitingElsewhere(reports));
+        return new DispatchPolicy(
+                engine, candidates.at(gateway, now), waitingWork.get(gateway).elsewhere(SERVICE, true, now));
     }
 
-    /** Tells a gateway what waits at another one. */
-    void report(int from, int to, Candidates candidates, int now) {
-        if (queues.get(from).isEmpty()) {
-            heard.get(to).remove(from);
-        } else {
-            heard.get(to).put(from, queues.get(from).report(policy(from, candidates, now), now));
-        }
+    /** Returns what a gateway reports, or null if nothing. */
+    GatewayLoad.WaitingState takeReport(int gateway, boolean near, boolean complete, int now) {
+        return (near ? nearReports : farReports)
+                .get(gateway)
+                .take(complete, now)
+                .orElse(null);
+    }
+
+    void applyReport(int from, int to, GatewayLoad.WaitingState report, int now) {
+        waitingWork.get(to).apply("gateway-" + from, report, now);
     }
 
     void examine(int now, Candidates candidates, Dispatcher dispatcher) {
@@ -127,12 +138,16 @@
             DispatchPolicy policy = policy(gateway, candidates, now);
             Optional<GenerationQueue.Outcome> outcome = queue.next(policy, now);
             outcome.ifPresent(each -> apply(gateway, each, now, dispatcher));
+            waitingWork.get(gateway).setOwn(SERVICE, queue.report(policy, now));
             more = outcome.isPresent() && !queue.isEmpty();
         }
     }
 
     private void apply(int gateway, GenerationQueue.Outcome outcome, int now, Dispatcher dispatcher) {
         if (outcome.decision() instanceof DispatchDecision.Dispatch dispatch) {
+            outcome.request().account().ifPresent(account -> waitingWork
+                    .get(gateway)
+                    .recordServed(account, outcome.request().demand().memoryTokens(), now));
             dispatcher.dispatch(gateway, generations.get(outcome.request().number()), dispatch.placement(), now);
         } else {
             refused++;
--- a/routing/src/main/java/org/bamboohatch/routing/wait/DispatchPolicy.java
+++ b/routing/src/main/java/org/bamboohatch/routing/wait/DispatchPolicy.java
@@ -95,6 +95,10 @@
         return engine;
     }
 
+    WaitingElsewhere elsewhere() {
+        return elsewhere;
+    }
+
     /**
      * Decides about one request.
      *
--- a/routing/src/main/java/org/bamboohatch/routing/wait/GenerationQueue.java
+++ b/routing/src/main/java/org/bamboohatch/routing/wait/GenerationQueue.java
@@ -24,6 +24,9 @@
     /** Share of its timeout after which a waiting request precedes all that have waited less. */
     private static final double PROMOTED_SHARE = 0.5;
 
+    /** Precision of reported times, so that slight changes of the load cause no report. */
+    private static final double REPORT_STEP_MILLIS = 20;
+
     private final int maximum;
 
     /** The waiting requests by number, in order of arrival. */
@@ -117,7 +120,9 @@
         for (QueuedGeneration request : inOrder(policy, now)) {
             WorkAhead work = work(request, policy);
             boolean strict = request.isStrict(policy.engine());
-            double latestStart = strict ? Double.POSITIVE_INFINITY : now + policy.slackMillis(request, now);
+            double latestStart = strict
+                    ? Double.POSITIVE_INFINITY
+                    : REPORT_STEP_MILLIS * Math.round((now + policy.slackMillis(request, now)) / REPORT_STEP_MILLIS);
             reports.merge(
                     request.priority(),
                     new WaitingElsewhere.Report(
@@ -189,6 +194,7 @@
         ordered.sort(Comparator.comparingInt((QueuedGeneration each) -> effectivePriority(each, now))
                 .thenComparing(each -> !each.isStrict(policy.engine()))
                 .thenComparing(each -> policy.slackMillis(each, now) < 0)
+                .thenComparingInt(policy.elsewhere()::accountRank)
                 .thenComparingDouble(each -> policy.slackMillis(each, now)));
         return ordered;
     }
--- a/routing/src/main/java/org/bamboohatch/routing/wait/WaitingElsewhere.java
+++ b/routing/src/main/java/org/bamboohatch/routing/wait/WaitingElsewhere.java
@@ -1,18 +1,22 @@
 package org.bamboohatch.routing.wait;
 
 import java.util.List;
+import java.util.Map;
+
+import org.bamboohatch.kernel.id.AccountName;
 
 /**
  * What waits at other gateways for the engines of a service. The gateways learn of each other's dispatches late, so those
  * that decide at the same moment would all use the same free engines. Each therefore leaves engines to the gateways whose
  * next request is more urgent than its own.
  *
- * @param reports one entry for each gateway with waiting requests
+ * @param reports one entry for each gateway with waiting requests and priority
+ * @param served tokens that were served to each client account recently, over all gateways
  */
-public record WaitingElsewhere(List<Report> reports) {
+public record WaitingElsewhere(List<Report> reports, Map<AccountName, Double> served) {
 
     /** Nothing waits at other gateways, as far as it is known. */
-    public static final WaitingElsewhere NONE = new WaitingElsewhere(List.of());
+    public static final WaitingElsewhere NONE = new WaitingElsewhere(List.of(), Map.of());
 
     /** Share of another gateway's waiting work that is expected to precede a request of the same priority. */
     private static final double SAME_PRIORITY_SHARE = 0.5;
@@ -38,9 +42,10 @@
         }
     }
 
-    /** Copies the list to keep the record immutable. */
+    /** Copies the list and the map to keep the record immutable. */
     public WaitingElsewhere {
         reports = List.copyOf(reports);
+        served = Map.copyOf(served);
     }
 
     /**
@@ -81,6 +86,20 @@
         return preceding;
     }
 
+    /**
+     * Returns the rank of a request's account: accounts that were served less come first. Those whose tokens differ by
+     * less than a factor of two may rank equal, as the reports are up to a second old.
+     *
+     * @param request the request
+     * @return the rank, zero if nothing was served to the account or it is unknown
+     */
+    int accountRank(QueuedGeneration request) {
+        double tokens = request.account()
+                .map(account -> served.getOrDefault(account, 0.0))
+                .orElse(0.0);
+        return tokens <= 1 ? 0 : Math.getExponent(tokens);
+    }
+
     private static boolean precedes(
             int priority, double latestStart, int ownPriority, double ownLatestStart, long now) {
         if (priority != ownPriority) {
--- a/routing/src/test/java/org/bamboohatch/routing/wait/DispatchPolicyTest.java
+++ b/routing/src/test/java/org/bamboohatch/routing/wait/DispatchPolicyTest.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import org.bamboohatch.document.fleet.EngineCostModel;
@@ -97,8 +98,10 @@
     /** Guards against gateways that all use the same free engines because they learn of each other's dispatches late. */
     @Test
     void aLongPromptLeavesTheEnginesToAMoreUrgentOneElsewhere() {
-        WaitingElsewhere urgent = new WaitingElsewhere(List.of(new WaitingElsewhere.Report(1, 7_000, 0, 100)));
-        WaitingElsewhere relaxed = new WaitingElsewhere(List.of(new WaitingElsewhere.Report(1, 7_000, 0, 100_000)));
+        WaitingElsewhere urgent =
+                new WaitingElsewhere(List.of(new WaitingElsewhere.Report(1, 7_000, 0, 100)), Map.of());
+        WaitingElsewhere relaxed =
+                new WaitingElsewhere(List.of(new WaitingElsewhere.Report(1, 7_000, 0, 100_000)), Map.of());
         List<Candidate> engines = engines(0, Workload.NONE);
         assertThat(decide(LONG, engines, urgent, WorkAhead.NONE)).isInstanceOf(Wait.class);
         assertThat(decide(LONG, engines, relaxed, WorkAhead.NONE)).isInstanceOf(Dispatch.class);
--- a/routing/src/test/java/org/bamboohatch/routing/wait/GenerationQueueTest.java
+++ b/routing/src/test/java/org/bamboohatch/routing/wait/GenerationQueueTest.java
@@ -6,6 +6,7 @@
 import java.util.stream.IntStream;
 
 import org.bamboohatch.document.fleet.EngineCostModel;
+import org.bamboohatch.kernel.id.AccountName;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.routing.fleet.Candidate;
 import org.bamboohatch.routing.fleet.Demand;
@@ -33,14 +34,14 @@
         return new QueuedGeneration(number, Optional.empty(), priority, demand, arrivedAt, arrivedAt + TIMEOUT, 0.5);
     }
 
+    private static List<Candidate> engines(Workload load) {
+        return IntStream.range(0, 20)
+                .mapToObj(number -> new Candidate(new TargetName("engine-" + number), true, ENGINE.slots(), load, 0, 1))
+                .toList();
+    }
+
     private static DispatchPolicy policy(Workload load) {
-        return new DispatchPolicy(
-                ENGINE,
-                IntStream.range(0, 20)
-                        .mapToObj(number ->
-                                new Candidate(new TargetName("engine-" + number), true, ENGINE.slots(), load, 0, 1))
-                        .toList(),
-                WaitingElsewhere.NONE);
+        return new DispatchPolicy(ENGINE, engines(load), WaitingElsewhere.NONE);
     }
 
     private static DispatchPolicy idle() {
@@ -79,6 +80,26 @@
         assertThat(order(queue, 4_000)).containsExactly(3L, 2L, 1L);
     }
 
+    /** Guards against a client account whose flood makes the few requests of the others late. */
+    @Test
+    void requestsOfTheAccountThatWasServedLessComeFirst() {
+        AccountName large = new AccountName("large");
+        AccountName small = new AccountName("small");
+        GenerationQueue queue = queue(
+                9,
+                List.of(
+                        new QueuedGeneration(1, Optional.of(large), 1, LONG, 0, TIMEOUT, 0.5),
+                        new QueuedGeneration(2, Optional.of(small), 1, LONG, 100, TIMEOUT, 0.5)));
+        AccountTokens tokens = new AccountTokens();
+        tokens.add(large, 2_000_000, 0);
+        tokens.add(small, 260_000, 0);
+        WaitingElsewhere served = new WaitingElsewhere(List.of(), tokens.all(200));
+        assertThat(queue.next(new DispatchPolicy(ENGINE, engines(Workload.NONE), served), 200)
+                        .map(each -> each.request().number()))
+                .contains(2L);
+        assertThat(tokens.all(300_000)).isEmpty();
+    }
+
     /** Guards against starvation: the others would always be more urgent. */
     @Test
     void aRequestThatHasWaitedForHalfOfItsTimeoutPrecedesTheOthers() {
