Send the next prompt if engines idle; leave fewer engines to others

Cause: (1) A gateway left 17 free engines to each gateway with a more urgent prompt, so engines idled until the next report. (2) Engines that a strict request uses were closed to long prompts whatever the load, so in a small fleet with a short question on each engine a long prompt waited until just before its caller left.

Change: four engines are left to each such gateway. If no engine has a prefill backlog above 150 ms and nothing precedes it, a prompt is sent as without a queue.

--- a/routing/src/main/java/org/bamboohatch/routing/wait/DispatchPolicy.java
+++ b/routing/src/main/java/org/bamboohatch/routing/wait/DispatchPolicy.java
@@ -51,6 +51,12 @@
     /** Time before its last moment at which a prompt may use the engines that are kept for strict requests. */
     private static final double LAST_CHANCE_MILLIS = 500;
 
+    /**
+     * Number of free engines left to each gateway whose next prompt is more urgent. If all engines that such a prompt can
+     * use are left to it, engines idle until the next report.
+     */
+    private static final int ENGINES_LEFT_TO_OTHERS = 4;
+
     /** Maximum share of a refused caller's remaining time that its retry delay takes. */
     private static final double MAXIMUM_RETRY_SHARE = 1.0 / 3;
 
@@ -118,7 +124,8 @@
             return waitOrRefuse(request, Reason.MEMORY, ahead, now);
         }
         int preceding = elsewhere.precedingGateways(request.priority(), now + slackMillis(request, now), now);
-        if (leavesRoom(placement.get(), request.demand(), preceding > 0)) {
+        boolean next = preceding == 0 && ahead.isEmpty();
+        if (next && hasNoBacklog() || leavesRoom(placement.get(), request.demand(), preceding > 0)) {
             return new Dispatch(placement.get());
         }
         return placeOnReady(request, preceding, now)
@@ -143,6 +150,15 @@
         return candidate.load().prefillMillis() <= BACKLOG_LIMIT_MILLIS && hasFreeSlot(candidate);
     }
 
+    /**
+     * Indicates whether no engine has a prefill backlog. The most urgent prompt is then sent as without a queue, so that it
+     * does not wait for engines that strict requests use a little, as all do in a small fleet.
+     */
+    private boolean hasNoBacklog() {
+        return candidates.stream().anyMatch(DispatchPolicy::hasFreeSlot)
+                && candidates.stream().allMatch(each -> each.load().prefillMillis() <= BACKLOG_LIMIT_MILLIS);
+    }
+
     /**
      * Indicates whether all engines of a placement can begin the prompt soon, and those that strict requests need remain
      * free of relaxed prefill.
@@ -193,7 +209,7 @@
                         .reversed()
                         .thenComparing(Candidate::name))
                 .limit(Math.max(0, ready.size() - totals().reserved()))
-                .skip((long) preceding * MAXIMUM_PREFILL_ENGINES)
+                .skip((long) preceding * ENGINES_LEFT_TO_OTHERS)
                 .toList();
         Optional<Placement> placement = placeInParts(request, unreserved);
         boolean canWait = now + ownMillis(request) < request.latestFirstEventAt() - LAST_CHANCE_MILLIS;
