--- a/gateway/src/main/java/org/bamboohatch/gateway/load/ExchangedState.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/ExchangedState.java
@@ -18,6 +18,7 @@
  * @param quarantine the traits of requests that end targets
  * @param coldTargets the cold times of targets
  * @param ramps the limits on the concurrent requests of targets that have started
+ * @param waitingWork the requests that wait at gateways
  */
 public record ExchangedState(
         LoadTracker loadTracker,
@@ -26,10 +27,11 @@
         TargetLimits limits,
         RequestQuarantine quarantine,
         ColdTargets coldTargets,
-        TargetRamps ramps) {
+        TargetRamps ramps,
+        WaitingWork waitingWork) {
 
     /**
-     * Creates a state without targets that are cold.
+     * Creates a state without targets that are cold and without waiting requests.
      *
      * @param loadTracker load of the targets
      * @param leavingTargets the targets that are about to end
@@ -50,7 +52,8 @@
                 limits,
                 quarantine,
                 new ColdTargets(limits, ColdTargets.Observer.Disabled.INSTANCE),
-                new TargetRamps(TargetRamps.Observer.Disabled.INSTANCE));
+                new TargetRamps(TargetRamps.Observer.Disabled.INSTANCE),
+                new WaitingWork());
     }
 
     /**
@@ -69,6 +72,7 @@
                 limits,
                 new RequestQuarantine(settings.promptQuarantineMillis(), new QuarantineLog()),
                 new ColdTargets(limits, log),
-                new TargetRamps(log));
+                new TargetRamps(log),
+                new WaitingWork());
     }
 }
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -73,6 +74,8 @@
 
     private final RequestQuarantine quarantine;
 
+    private final WaitingWork waitingWork;
+
     private final EventLoop loop;
 
     /** Random number of this start of the process. */
@@ -124,6 +127,7 @@
      * @param pauses the end of each pause that a target has asked for, in milliseconds, by target
      * @param cold cold times of targets
      * @param ramps limits of targets that have started
+     * @param waiting the requests that wait at this gateway, empty if they are unchanged
      */
     private record Content(
             Map<TargetName, Workload> workloads,
@@ -132,7 +136,8 @@
             List<TargetLimits.Statement> limits,
             Map<TargetIncarnation, Long> pauses,
             List<ColdTargets.Statement> cold,
-            List<TargetRamps.Statement> ramps) {
+            List<TargetRamps.Statement> ramps,
+            Optional<GatewayLoad.WaitingState> waiting) {
 
         boolean isEmpty() {
             return workloads.isEmpty()
@@ -141,7 +146,8 @@
                     && limits.isEmpty()
                     && pauses.isEmpty()
                     && cold.isEmpty()
-                    && ramps.isEmpty();
+                    && ramps.isEmpty()
+                    && waiting.isEmpty();
         }
     }
 
@@ -160,6 +166,8 @@
 
         private final TargetRamps.PendingReport pendingRamps = ramps.newReport();
 
+        private final WaitingWork.PendingReport pendingWaiting = waitingWork.newReport();
+
         private final Set<TargetIncarnation> pendingLeaving = new LinkedHashSet<>();
 
         /**
@@ -177,7 +185,8 @@
                     complete ? pendingLimits.takeAll(now) : pendingLimits.takeChanges(),
                     complete ? pendingPauses.takeAll(now) : pendingPauses.takeChanges(),
                     complete ? pendingCold.takeAll(now) : pendingCold.takeChanges(),
-                    complete ? pendingRamps.takeAll(now) : pendingRamps.takeChanges());
+                    complete ? pendingRamps.takeAll(now) : pendingRamps.takeChanges(),
+                    pendingWaiting.take(complete, now));
             pendingLeaving.clear();
             return content;
         }
@@ -215,6 +224,7 @@
         this.coldTargets = state.coldTargets();
         this.ramps = state.ramps();
         this.quarantine = state.quarantine();
+        this.waitingWork = state.waitingWork();
         this.loop = loop;
         this.near = new Audience();
         this.far = new Audience();
@@ -411,7 +421,8 @@
                             page(namedLimits, datagram, TARGETS_PER_REPORT),
                             page(askedPauses, datagram, TARGETS_PER_REPORT),
                             page(coldTimes, datagram, TARGETS_PER_REPORT),
-                            page(limitedRuns, datagram, TARGETS_PER_REPORT)));
+                            page(limitedRuns, datagram, TARGETS_PER_REPORT),
+                            datagram == datagrams - 1 ? content.waiting().orElse(null) : null));
             socket.send(report, receivers);
         }
     }
@@ -447,6 +458,7 @@
         loadTracker.applyReport(report.gateway(), workloads, now);
         report.leaving().forEach(target -> leavingTargets.addReported(target.toIncarnation(), now));
         report.pauses().forEach(pause -> pauses.addReported(pause.toIncarnation(), now + pause.leftMillis(), now));
+        waitingWork.apply(report.gateway(), report.waiting(), now);
         report.limits().forEach(limit -> limits.apply(limit.toStatement(now), now));
         report.cold().forEach(coldTime -> coldTargets.apply(coldTime.toStatement(now), now));
         report.ramps().forEach(ramp -> ramps.apply(ramp.toStatement(now), now));
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/ColdCatalogTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/ColdCatalogTest.java
@@ -14,6 +14,7 @@
 import org.bamboohatch.gateway.configuration.RouteTable;
 import org.bamboohatch.gateway.load.ExchangedState;
 import org.bamboohatch.gateway.load.LoadTracker;
+import org.bamboohatch.gateway.load.WaitingWork;
 import org.bamboohatch.gateway.target.ColdTargets;
 import org.bamboohatch.gateway.target.LeavingTargets;
 import org.bamboohatch.gateway.target.TargetAddress;
@@ -50,7 +51,8 @@
             limits,
             new RequestQuarantine(60_000, RequestQuarantine.Observer.Disabled.INSTANCE),
             cold,
-            ramps);
+            ramps,
+            new WaitingWork());
 
     private final TargetCatalog catalog = new TargetCatalog(new HostName("gateway-1"), new ZoneName("zone-a"), state);
 
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/ColdZoneReplay.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/ColdZoneReplay.java
@@ -21,6 +21,7 @@
 import org.bamboohatch.gateway.configuration.RouteTable;
 import org.bamboohatch.gateway.load.ExchangedState;
 import org.bamboohatch.gateway.load.LoadTracker;
+import org.bamboohatch.gateway.load.WaitingWork;
 import org.bamboohatch.gateway.target.ColdTargets;
 import org.bamboohatch.gateway.target.LeavingTargets;
 import org.bamboohatch.gateway.target.TargetAddress;
@@ -293,7 +294,8 @@
                     limits,
                     new RequestQuarantine(60_000, RequestQuarantine.Observer.Disabled.INSTANCE),
                     cold,
-                    ramps);
+                    ramps,
+                    new WaitingWork());
             catalog = new TargetCatalog(host, zone(zone), state);
             nearCold = cold.newReport();
             farCold = cold.newReport();
