Let short questions wait for engines without long prefill, and share free slots

Free slots of engines that prefill for seconds counted as free, so no short question waited at a gateway, and all queued at the same engines. In the replay, gateways that wait took the same freed slot, as they learn of each other's dispatches 20 ms late.

Change: a strict request needs an engine with a free slot and at most 150 ms of prefill before it, or one that is predicted to be in time. Otherwise it waits; if that is in vain, it is sent to any free slot as before. While strict requests wait at several gateways, rendezvous hashing gives the free slots of each engine to one of them. The latest strict request goes first, because in order of arrival all of them are late once there are more than slots. The predicted time of a strict request covers two passes and the prefill of another one.

--- a/gateway/src/main/java/org/bamboohatch/gateway/load/ExchangedState.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/ExchangedState.java
@@ -53,7 +53,7 @@
                 quarantine,
                 new ColdTargets(limits, ColdTargets.Observer.Disabled.INSTANCE),
                 new TargetRamps(TargetRamps.Observer.Disabled.INSTANCE),
-                new WaitingWork());
+                new WaitingWork(""));
     }
 
     /**
@@ -73,6 +73,6 @@
                 new RequestQuarantine(settings.promptQuarantineMillis(), new QuarantineLog()),
                 new ColdTargets(limits, log),
                 new TargetRamps(log),
-                new WaitingWork());
+                new WaitingWork(settings.host().value()));
     }
 }
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/WaitingWork.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/WaitingWork.java
@@ -10,6 +10,7 @@
 import org.bamboohatch.kernel.id.AccountName;
 import org.bamboohatch.kernel.id.ServiceName;
 import org.bamboohatch.routing.wait.AccountTokens;
+import org.bamboohatch.routing.wait.SlotShare;
 import org.bamboohatch.routing.wait.WaitingElsewhere;
 import org.bamboohatch.routing.wait.WaitingElsewhere.Report;
 
@@ -25,6 +26,8 @@
     /** Accounts in one report, those that were served the most; keeps the report within a packet. */
     private static final int MAXIMUM_ACCOUNTS = 12;
 
+    private final String gateway;
+
     /** The waiting requests of this gateway, by service. */
     private final Map<ServiceName, List<Report>> own = new HashMap<>();
 
@@ -75,8 +78,14 @@
         }
     }
 
-    /** Creates a state without requests. */
-    public WaitingWork() {}
+    /**
+     * Creates a state without requests.
+     *
+     * @param gateway name of this gateway, as in its reports
+     */
+    public WaitingWork(String gateway) {
+        this.gateway = gateway;
+    }
 
     /**
      * Creates a report of the changes from now on.
@@ -165,12 +174,19 @@
         List<Report> reports = new ArrayList<>();
         Map<AccountName, Double> tokens = withTokens ? new HashMap<>(ownTokens.all(now)) : Map.of();
         received.values().removeIf(report -> now - report.receivedAt >= REPORT_EXPIRY_MS);
-        for (Received report : received.values()) {
-            reports.addAll(report.waiting.getOrDefault(service, List.of()));
+        List<String> strictElsewhere = new ArrayList<>();
+        received.forEach((other, report) -> {
+            List<Report> waiting = report.waiting.getOrDefault(service, List.of());
+            reports.addAll(waiting);
+            if (waiting.stream().anyMatch(each -> each.strictRequests() > 0)) {
+                strictElsewhere.add(other);
+            }
             if (withTokens) {
                 report.tokens.all(now).forEach((account, served) -> tokens.merge(account, served, Double::sum));
             }
-        }
-        return reports.isEmpty() && tokens.isEmpty() ? WaitingElsewhere.NONE : new WaitingElsewhere(reports, tokens);
+        });
+        return reports.isEmpty() && tokens.isEmpty()
+                ? WaitingElsewhere.NONE
+                : new WaitingElsewhere(reports, tokens, new SlotShare(gateway, strictElsewhere));
     }
 }
--- a/gateway/src/test/java/org/bamboohatch/gateway/load/QueueReplayTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/load/QueueReplayTest.java
@@ -25,6 +25,12 @@
             new Phase(5, 19, 4.8, 0.06),
             new Phase(8, 133, 3.7, 0.06));
 
+    /** Long prompts, then more short questions than the engines that are left have slots for. */
+    private static final List<Phase> SHORT_FLOOD =
+            List.of(new Phase(3, 53, 3.7, 1.2), new Phase(3, 19, 4.8, 4), new Phase(9, 180, 1.8, 0.06));
+
+    private static final PlacementReplay.Fleet REMAINING_FLEET = new PlacementReplay.Fleet(12, 42, 3);
+
     private static final List<Phase> LIGHT = List.of(new Phase(20, 30, 1, 0.3));
 
     private static final long SEED = 20_261_206;
@@ -51,6 +57,24 @@
                 .isGreaterThan(atOnce.longRequests().inTimeShare());
     }
 
+    private static Outcome replayShortFlood(int maximumWaiting, long seed) {
+        return new PlacementReplay(
+                        PlacementPolicy.PREDICTED, REMAINING_FLEET, ENGINE, ENGINE.slots(), maximumWaiting, seed)
+                .run(SHORT_FLOOD);
+    }
+
+    /**
+     * Short questions exceed the slots of the engines, some of which still prefill long prompts. Guards against requests
+     * that queue at engines in order of arrival, so that all of them are late.
+     */
+    @Test
+    void aFloodOfShortQuestionsIsServedInTimeAsFarAsSlotsAllow() {
+        Outcome atOnce = replayShortFlood(0, SEED);
+        Outcome queued = replayShortFlood(MAXIMUM_WAITING, SEED);
+        assertThat(queued.shortRequests().inTime())
+                .isGreaterThan(atOnce.shortRequests().inTime() * 3 / 2);
+    }
+
     /** Guards against a queue that holds back requests though engines could start them. */
     @Test
     void lightLoadGivesTheSameResult() {
@@ -60,6 +84,10 @@
     /** Prints the results of both ways for several seeds. */
     public static void main(String[] arguments) {
         for (int seed = 1; seed <= 6; seed++) {
+            for (int maximumWaiting : new int[] {0, MAXIMUM_WAITING}) {
+                System.out.println("short flood, " + maximumWaiting + " waiting, seed " + seed + ": "
+                        + replayShortFlood(maximumWaiting, seed));
+            }
             for (List<Phase> phases : List.of(FLOOD, LIGHT)) {
                 for (int maximumWaiting : new int[] {0, MAXIMUM_WAITING}) {
                     PlacementReplay replay =
--- a/routing/src/main/java/org/bamboohatch/routing/wait/DispatchPolicy.java
+++ b/routing/src/main/java/org/bamboohatch/routing/wait/DispatchPolicy.java
@@ -30,6 +30,15 @@
     /** Prefill backlog up to which an engine takes a further prompt, so that it is never without work. */
     private static final double BACKLOG_LIMIT_MILLIS = 150;
 
+    /**
+     * Decode passes until the first event of a strict request at an engine without a free slot: half a pass until its
+     * prefill begins on average, the pass of its prefill, and the one that makes the event.
+     */
+    private static final double STRICT_PASSES = 2;
+
+    /** Prefill backlog above which an engine prefills long prompts and frees no slots for strict requests for a while. */
+    private static final double LONG_BACKLOG_MILLIS = 500;
+
     /** Strict requests for which engines are kept free of relaxed prefill, relative to those that run. */
     private static final double STRICT_HEADROOM = 1.5;
 
@@ -79,10 +88,13 @@
      *
      * @param runs number of requests at them
      * @param slots number of requests that they process concurrently
+     * @param strictSlots those of engines that do not prefill long prompts
      * @param backlogMillis prefill backlog, in milliseconds
+     * @param shortestBacklogMillis prefill backlog of the engine with the least, in milliseconds
      * @param reserved number of engines that are kept free of relaxed prefill
      */
-    private record Totals(int runs, int slots, double backlogMillis, int reserved) {}
+    private record Totals(
+            int runs, int slots, int strictSlots, double backlogMillis, double shortestBacklogMillis, int reserved) {}
 
     /**
      * Creates the decisions at one moment.
@@ -116,9 +128,7 @@
     public DispatchDecision decide(QueuedGeneration request, WorkAhead ahead, long now) {
         Optional<Placement> placement = place(request.demand(), candidates);
         if (request.isStrict(engine)) {
-            return placement.isPresent() && candidates.stream().anyMatch(DispatchPolicy::hasFreeSlot)
-                    ? new Dispatch(placement.get())
-                    : waitOrRefuse(request, placement.isPresent() ? Reason.SLOTS : Reason.MEMORY, ahead, now);
+            return decideStrict(request, placement, ahead, now);
         }
         if (placement.isEmpty()) {
             return waitOrRefuse(request, Reason.MEMORY, ahead, now);
@@ -133,6 +143,66 @@
                 .orElseGet(() -> waitOrRefuse(request, Reason.BACKLOG, ahead, now));
     }
 
+    /**
+     * Decides about a strict request. It waits if it would only queue at an engine: for a slot, or behind the prefill of a
+     * long prompt, during which an engine with a free slot is of little use.
+     *
+     * @param request the request
+     * @param placement its placement among all engines, empty if none has memory
+     * @param ahead what waits at this gateway and is expected to be sent before it
+     * @param now current time, in milliseconds
+     */
+    private DispatchDecision decideStrict(
+            QueuedGeneration request, Optional<Placement> placement, WorkAhead ahead, long now) {
+        if (placement.isEmpty()) {
+            return waitOrRefuse(request, Reason.MEMORY, ahead, now);
+        }
+        boolean shared = !elsewhere.slotShare().others().isEmpty();
+        if (!shared && beginsInTime(placement.get(), request, now)) {
+            return new Dispatch(placement.get());
+        }
+        List<Candidate> ready =
+                candidates.stream().filter(DispatchPolicy::isReady).toList();
+        return place(request.demand(), shared ? ownShare(ready) : ready)
+                .<DispatchDecision>map(Dispatch::new)
+                .orElseGet(() -> waitForReadyEngine(request, ahead, now));
+    }
+
+    /**
+     * Decides about a strict request that no engine can begin now. Where waiting is in vain, an engine with a free slot may
+     * still answer it, though late.
+     */
+    private DispatchDecision waitForReadyEngine(QueuedGeneration request, WorkAhead ahead, long now) {
+        DispatchDecision decision = waitOrRefuse(request, strictReason(), ahead, now);
+        if (decision instanceof Wait) {
+            return decision;
+        }
+        List<Candidate> free =
+                candidates.stream().filter(DispatchPolicy::hasFreeSlot).toList();
+        return place(request.demand(), free)
+                .<DispatchDecision>map(Dispatch::new)
+                .orElse(decision);
+    }
+
+    private List<Candidate> ownShare(List<Candidate> engines) {
+        return engines.stream()
+                .filter(candidate -> elsewhere.slotShare().includes(candidate.name()))
+                .toList();
+    }
+
+    private boolean beginsInTime(Placement placement, QueuedGeneration request, long now) {
+        Candidate target = candidates.stream()
+                .filter(candidate -> candidate.name().equals(placement.target()))
+                .findFirst()
+                .orElseThrow();
+        return hasFreeSlot(target)
+                && (isReady(target) || now + placement.timeToFirstTokenMillis() <= request.wantedAt());
+    }
+
+    private Reason strictReason() {
+        return candidates.stream().anyMatch(DispatchPolicy::hasFreeSlot) ? Reason.BACKLOG : Reason.SLOTS;
+    }
+
     private Optional<Placement> place(Demand demand, List<Candidate> engines) {
         return PlacementPolicy.PREDICTED.place(demand, engines, Optional.of(engine));
     }
@@ -286,7 +356,10 @@
         if (request.isStrict(engine)) {
             double generationMillis =
                     engine.generationMillis((long) engine.meanPromptTokens(), (long) engine.meanOutputTokens());
-            return generationMillis * (ahead.strictRequests() + 1) / Math.max(1, totals().slots());
+            boolean freesSlots = totals().strictSlots() > 0;
+            int slots = Math.max(1, freesSlots ? totals().strictSlots() : totals().slots());
+            return (freesSlots ? 0 : totals().shortestBacklogMillis())
+                    + generationMillis * (ahead.strictRequests() + 1) / slots;
         }
         return (totals().backlogMillis() + ahead.prefillMillis()) / relaxedEngines();
     }
@@ -298,7 +371,11 @@
      */
     private double ownMillis(QueuedGeneration request) {
         double prefillMillis = engine.prefillMillis(request.demand().promptTokens());
-        double engines = request.isStrict(engine) ? 1 : Math.min(MAXIMUM_PREFILL_ENGINES, relaxedEngines());
+        if (request.isStrict(engine)) {
+            double passMillis = engine.decodePassMillis(engine.slots(), engine.slots() * engine.meanPromptTokens());
+            return prefillMillis + STRICT_PASSES * passMillis + engine.prefillMillis((long) engine.meanPromptTokens());
+        }
+        double engines = Math.min(MAXIMUM_PREFILL_ENGINES, relaxedEngines());
         return prefillMillis / engines
                 + engine.decodePassMillis(1, request.demand().promptTokens());
     }
@@ -323,20 +400,25 @@
         if (totals == null) {
             int runs = 0;
             int slots = 0;
+            int strictSlots = 0;
             int strictRuns = 0;
             int strictEngines = 0;
             double backlogMillis = 0;
+            double shortestBacklogMillis = Double.POSITIVE_INFINITY;
             for (Candidate candidate : candidates) {
                 runs += candidate.load().runs();
                 slots += candidate.slots();
+                strictSlots += candidate.load().prefillMillis() <= LONG_BACKLOG_MILLIS ? candidate.slots() : 0;
                 backlogMillis += candidate.load().prefillMillis();
+                shortestBacklogMillis =
+                        Math.min(shortestBacklogMillis, candidate.load().prefillMillis());
                 strictRuns += candidate.load().strictRuns();
                 strictEngines += candidate.load().strictRuns() > 0 ? 1 : 0;
             }
             double usualRuns = Math.max(1, FILL_SHARE * engine.slots());
             int needed = (int) Math.ceil(STRICT_HEADROOM * strictRuns / usualRuns);
             int reserved = Math.min(candidates.size(), Math.max(strictEngines, needed));
-            totals = new Totals(runs, slots, backlogMillis, reserved);
+            totals = new Totals(runs, slots, strictSlots, backlogMillis, shortestBacklogMillis, reserved);
         }
         return totals;
     }
--- a/routing/src/main/java/org/bamboohatch/routing/wait/GenerationQueue.java
+++ b/routing/src/main/java/org/bamboohatch/routing/wait/GenerationQueue.java
@@ -195,7 +195,8 @@
                 .thenComparing(each -> !each.isStrict(policy.engine()))
                 .thenComparing(each -> policy.slackMillis(each, now) < 0)
                 .thenComparingInt(policy.elsewhere()::accountRank)
-                .thenComparingDouble(each -> policy.slackMillis(each, now)));
+                .thenComparingDouble(
+                        each -> each.isStrict(policy.engine()) ? -each.wantedAt() : policy.slackMillis(each, now)));
         return ordered;
     }
 
--- a/routing/src/main/java/org/bamboohatch/routing/wait/WaitingElsewhere.java
+++ b/routing/src/main/java/org/bamboohatch/routing/wait/WaitingElsewhere.java
@@ -12,11 +12,12 @@
  *
  * @param reports one entry for each gateway with waiting requests and priority
  * @param served tokens that were served to each client account recently, over all gateways
+ * @param slotShare the engines whose free slots this gateway may use for strict requests
  */
-public record WaitingElsewhere(List<Report> reports, Map<AccountName, Double> served) {
+public record WaitingElsewhere(List<Report> reports, Map<AccountName, Double> served, SlotShare slotShare) {
 
     /** Nothing waits at other gateways, as far as it is known. */
-    public static final WaitingElsewhere NONE = new WaitingElsewhere(List.of(), Map.of());
+    public static final WaitingElsewhere NONE = new WaitingElsewhere(List.of(), Map.of(), SlotShare.WHOLE);
 
     /** Share of another gateway's waiting work that is expected to precede a request of the same priority. */
     private static final double SAME_PRIORITY_SHARE = 0.5;
@@ -42,6 +43,16 @@
         }
     }
 
+    /**
+     * Creates a state in which this gateway may use all free slots.
+     *
+     * @param reports one entry for each gateway with waiting requests and priority
+     * @param served tokens that were served to each client account recently, over all gateways
+     */
+    public WaitingElsewhere(List<Report> reports, Map<AccountName, Double> served) {
+        this(reports, served, SlotShare.WHOLE);
+    }
+
     /** Copies the list and the map to keep the record immutable. */
     public WaitingElsewhere {
         reports = List.copyOf(reports);
