Keep the slots of gateways that a new leader does not list yet

A new leader lists only the gateways that have polled it. The first gateways to get its replies took the slots of all others in the rate of a cold target, so that together they could exceed it several times over.

A gateway that is missing from a later list now takes part for ten seconds, which is as long as control retains one that does not poll.

--- a/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
@@ -241,7 +241,7 @@
                 Network.parseAnnounced(address).ifPresent(present::add);
             }
         }
-        limits.setGateways(gateways, settings.exchange());
+        limits.setGateways(gateways, settings.exchange(), GatewayClock.now());
         quarantine.setGateways(gateways, settings.exchange());
         peers.keySet().retainAll(present);
         present.forEach(address -> peers.computeIfAbsent(address, added -> {
--- a/gateway/src/main/java/org/bamboohatch/gateway/target/ColdShares.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/ColdShares.java
@@ -1,10 +1,10 @@
 package org.bamboohatch.gateway.target;
 
-import java.util.Comparator;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.stream.Stream;
+import java.util.TreeMap;
 
 import com.dynatrace.hash4j.hashing.Hashing;
 import org.bamboohatch.kernel.id.TargetIncarnation;
@@ -19,8 +19,23 @@
     /** Stands for a slot that is to be determined anew; it lies before all others. */
     private static final long UNKNOWN_SLOT = Long.MIN_VALUE;
 
+    /**
+     * Time for which a gateway that is missing from a later list keeps its slots, in milliseconds; control retains a gateway
+     * that does not poll for as long. A new leader lists only the gateways that have polled it, so that each of the first
+     * ones would otherwise take over the slots of all others.
+     */
+    static final long RETENTION_MS = 10_000;
+
     private final Map<TargetIncarnation, Share> shares = new HashMap<>();
 
+    /** Addresses of the gateways, with the time until which each takes part, in milliseconds; no end for those listed. */
+    private final Map<String, Long> gateways = new TreeMap<>();
+
+    /** Earliest end of the time for which an unlisted gateway takes part, in milliseconds. */
+    private long nextRemovalAt = Long.MAX_VALUE;
+
+    private String ownAddress = "";
+
     /** Hashes of the addresses of all gateways, in an order that all of them use. */
     private long[] gatewayHashes = {0};
 
@@ -37,19 +52,27 @@
     private record Share(ColdSchedule schedule, long targetHash, long nextSlot) {}
 
     /**
-     * Sets the gateways that share the rates.
+     * Sets the gateways that share the rates. Those that were listed before take part for the retention time.
      *
      * @param addresses addresses for load reports of all gateways; without this one's, it takes part as well
      * @param own address of this gateway
+     * @param now current time, in milliseconds
      */
-    void setGateways(List<String> addresses, String own) {
-        List<String> all = Stream.concat(addresses.stream(), Stream.of(own))
-                .distinct()
-                .sorted(Comparator.naturalOrder())
-                .toList();
+    void setGateways(List<String> addresses, String own, long now) {
+        ownAddress = own;
+        gateways.replaceAll((address, until) -> Math.min(until, now + RETENTION_MS));
+        addresses.forEach(address -> gateways.put(address, Long.MAX_VALUE));
+        gateways.put(own, Long.MAX_VALUE);
+        removeUnlisted(now);
+    }
+
+    private void removeUnlisted(long now) {
+        gateways.values().removeIf(until -> until <= now);
+        nextRemovalAt = Collections.min(gateways.values());
+        List<String> all = List.copyOf(gateways.keySet());
         gatewayHashes =
                 all.stream().mapToLong(Hashing.wyhashFinal4()::hashCharsToLong).toArray();
-        ownPlace = all.indexOf(own);
+        ownPlace = all.indexOf(ownAddress);
         shares.replaceAll((target, share) -> new Share(share.schedule(), share.targetHash(), UNKNOWN_SLOT));
     }
 
@@ -108,6 +131,9 @@
     }
 
     private Share current(TargetIncarnation target, long now) {
+        if (now >= nextRemovalAt) {
+            removeUnlisted(now);
+        }
         Share share = shares.isEmpty() ? null : shares.get(target);
         if (share != null && share.schedule().isPast(share.nextSlot(), now)) {
             share = share(share.schedule(), share.targetHash(), now);
--- a/gateway/src/main/java/org/bamboohatch/gateway/target/TargetLimits.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/TargetLimits.java
@@ -123,10 +123,11 @@
      *
      * @param addresses addresses for load reports of all gateways
      * @param own address of this gateway
+     * @param now current time, in milliseconds
      */
-    public void setGateways(List<String> addresses, String own) {
+    public void setGateways(List<String> addresses, String own, long now) {
         setGateways(addresses.size());
-        coldShares.setGateways(addresses, own);
+        coldShares.setGateways(addresses, own, now);
     }
 
     /**
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/ColdZoneReplay.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/ColdZoneReplay.java
@@ -305,7 +305,8 @@
                     IntStream.range(0, count)
                             .mapToObj(each -> "gateway-" + each)
                             .toList(),
-                    host.value());
+                    host.value(),
+                    clock());
         }
 
         private long clock() {
