Prefer a target at its ramp limit to an ejected one

Targets at the limit of their ramp were left out before ejected targets were. If only ejected ones remained, requests were sent to these and failed, while a target that had started could run them. The limit is now applied to the targets that are not ejected; ColdCatalogTest.aTargetAtItsLimitComesBeforeAnEjectedOne fails without this.

The load of each target, a sum over all gateways, was also determined once more for each placement, even for services without a rate. It is now determined for targets on a ramp only.

--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetCatalog.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetCatalog.java
@@ -22,6 +22,7 @@
 import org.bamboohatch.gateway.target.TargetRamps;
 import org.bamboohatch.kernel.id.HostName;
 import org.bamboohatch.kernel.id.ServiceName;
+import org.bamboohatch.kernel.id.TargetIncarnation;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.id.ZoneName;
 import org.bamboohatch.protocol.message.TargetAnnouncement;
@@ -131,7 +132,8 @@
 
     /**
      * Returns the targets that a request may be sent to. Those that are leaving, paused or at their limit are omitted; ejected ones and
-     * those whose concurrency is limited because they have started are omitted unless no other is left.
+     * those whose concurrency is limited because they have started are omitted unless no other is left. A target at its limit
+     * comes before an ejected one, as a request that is slow is better than one that fails.
      *
      * @param service the service of the request
      * @param excluded targets that are not considered
@@ -144,19 +146,31 @@
                 .filter(member -> !excluded.contains(member.target().target()))
                 .filter(member -> isCandidate(member, now))
                 .toList();
-        List<KnownTarget> belowLimit = accepting.stream()
-                .filter(member -> !ramps.holdOff(
-                        member.address().toIncarnation(),
-                        loadTracker.load(member.target().target(), now).runs(),
-                        now))
-                .toList();
-        List<KnownTarget> all = belowLimit.isEmpty() ? accepting : belowLimit;
-        List<KnownTarget> preferred = all.stream()
+        List<KnownTarget> available = accepting.stream()
                 .filter(member -> health.getOrDefault(member.address(), TargetHealth.HEALTHY)
                         .isAvailable(now))
                 .toList();
-        List<KnownTarget> usable = preferred.isEmpty() ? all : preferred;
-        return usable.stream().map(member -> toCandidate(member, now)).toList();
+        List<KnownTarget> preferred = available.isEmpty() ? accepting : available;
+        return belowRampLimits(preferred, now).stream()
+                .map(member -> toCandidate(member, now))
+                .toList();
+    }
+
+    private List<KnownTarget> belowRampLimits(List<KnownTarget> preferred, long now) {
+        if (ramps.isEmpty()) {
+            return preferred;
+        }
+        List<KnownTarget> below =
+                preferred.stream().filter(member -> !isAtRampLimit(member, now)).toList();
+        return below.isEmpty() ? preferred : below;
+    }
+
+    /** The load is summed over all gateways, so that it is determined for targets on a ramp only. */
+    private boolean isAtRampLimit(KnownTarget member, long now) {
+        TargetIncarnation target = member.address().toIncarnation();
+        return ramps.lasts(target)
+                && ramps.holdOff(
+                        target, loadTracker.load(member.target().target(), now).runs(), now);
     }
 
     /**
--- a/gateway/src/main/java/org/bamboohatch/gateway/target/TargetRamps.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/target/TargetRamps.java
@@ -208,6 +208,26 @@
         return new Entry(entry.ramp(), entry.slots(), entry.begunAt(), now);
     }
 
+    /**
+     * Indicates whether no target is on a ramp or was lately.
+     *
+     * @return whether nothing is limited
+     */
+    public boolean isEmpty() {
+        return entries.isEmpty();
+    }
+
+    /**
+     * Indicates whether the concurrent requests of a target are limited.
+     *
+     * @param target the target
+     * @return whether its ramp lasts
+     */
+    public boolean lasts(TargetIncarnation target) {
+        Entry entry = entries.get(target);
+        return entry != null && entry.lasts();
+    }
+
     /**
      * Indicates whether a target is left out because its requests have reached its limit, and records that the limit is
      * needed if so.
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/ColdCatalogTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/ColdCatalogTest.java
@@ -286,6 +286,20 @@
                 .hasSize(1);
     }
 
+    /** Requests would otherwise be sent to a target that fails them while one that has started could run them. */
+    @Test
+    void aTargetAtItsLimitComesBeforeAnEjectedOne() {
+        apply(0, coldFor(3_000, fleet(1), 1));
+        run("t0", 2, 10_000);
+        for (int failure = 0; failure < 3; failure++) {
+            catalog.recordFailure(address(target("t1", 1)), 10_000);
+        }
+        assertThat(catalog.candidates(
+                        SERVICE, Set.of(new TargetName("t2"), new TargetName("t3"), new TargetName("t4")), 10_000))
+                .extracting(candidate -> candidate.name().value())
+                .containsExactly("t0");
+    }
+
     @Test
     void withoutARateThereIsNoRamp() {
         perSecond = 0;
