Let no repeated statement about a cold time become younger

Gateways repeat the statements of targets in their complete reports, and each hop added its delay to the time of the statement. With many or slow gateways, an old statement became nearly as young as the present: an old zero could hide that a target is cold again, and an old cold time could hide its end.

The same statement again, with about the same end and time, now has no effect. ColdPeriodTest.aStatementThatIsRepeatedBecomesNoYounger fails without this.

--- a/routing/src/main/java/org/bamboohatch/routing/retry/ColdPeriod.java
+++ b/routing/src/main/java/org/bamboohatch/routing/retry/ColdPeriod.java
@@ -36,13 +36,14 @@
 
     /**
      * Applies another statement. The later one holds. Statements about the same cold time retain its earliest end, which is
-     * the one with the shortest delay and nearly the same at all processes.
+     * the one with the shortest delay and nearly the same at all processes. The same statement again, as processes repeat it to
+     * each other, has no effect: its delay would otherwise make it younger each time, until it hides a later statement.
      *
      * @param statement the other statement
      * @return this period if the statement is older, otherwise what the statement says
      */
     public ColdPeriod after(ColdPeriod statement) {
-        if (statement.statedAt < statedAt) {
+        if (statement.statedAt < statedAt || isRepeatedBy(statement)) {
             return this;
         }
         boolean delayed =
@@ -50,6 +51,15 @@
         return new ColdPeriod(delayed ? endsAt : statement.endsAt, statement.statedAt);
     }
 
+    private boolean isRepeatedBy(ColdPeriod statement) {
+        boolean bothCold = endsAt > statedAt && statement.endsAt > statement.statedAt;
+        boolean bothWarm = endsAt <= statedAt && statement.endsAt <= statement.statedAt;
+        return (bothCold || bothWarm)
+                && statement.statedAt - statedAt <= TOLERANCE_MS
+                && statement.endsAt >= endsAt
+                && statement.endsAt - endsAt <= TOLERANCE_MS;
+    }
+
     /**
      * Indicates whether the target is cold.
      *
--- a/routing/src/test/java/org/bamboohatch/routing/retry/ColdPeriodTest.java
+++ b/routing/src/test/java/org/bamboohatch/routing/retry/ColdPeriodTest.java
@@ -48,6 +48,23 @@
         assertThat(period.after(ColdPeriod.of(2_000, 1_200)).endsAt()).isEqualTo(3_100);
     }
 
+    private static ColdPeriod repeated(ColdPeriod statement, int times, long delayMillis) {
+        ColdPeriod period = statement;
+        for (int time = 0; time < times; time++) {
+            period = period.after(new ColdPeriod(period.endsAt() + delayMillis, period.statedAt() + delayMillis));
+        }
+        return period;
+    }
+
+    /** Gateways repeat statements to each other; an old one would otherwise become younger and hide a later one. */
+    @Test
+    void aStatementThatIsRepeatedBecomesNoYounger() {
+        ColdPeriod cold = repeated(ColdPeriod.of(9_000, 1_000), 200, 10);
+        assertThat(cold.after(ColdPeriod.of(0, 2_000)).isCold(2_000)).isFalse();
+        ColdPeriod warm = repeated(ColdPeriod.of(0, 1_000), 200, 10);
+        assertThat(warm.after(ColdPeriod.of(9_000, 2_000)).isCold(2_000)).isTrue();
+    }
+
     /** A delayed statement would otherwise end the cold time while the target still names some. */
     @Test
     void aStatementAfterTheKnownEndCounts() {
