Let no repeated need make the ramp of a target last

A ramp ends after 30 s in which its limit was not reached. Gateways repeat the time since it was reached to each other, and each hop made it younger by its delay, so that with many or slow gateways the ramp might never have ended.

A need that is less than a second later than the known one now has no effect. ConcurrencyRampTest.aNeedThatIsRepeatedBecomesNoYounger fails without this.

--- a/routing/src/main/java/org/bamboohatch/routing/retry/ConcurrencyRamp.java
+++ b/routing/src/main/java/org/bamboohatch/routing/retry/ConcurrencyRamp.java
@@ -21,6 +21,9 @@
     /** Time within which failures at several processes have the same reason, in milliseconds. */
     public static final long SAME_FAILURE_MS = 1_000;
 
+    /** Difference below which two processes mean the same need; above the delay of reports, in milliseconds. */
+    private static final long SAME_NEED_MS = 1_000;
+
     /** Factor by which the first event of a response in time may be later than predicted. */
     private static final double PREDICTION_TOLERANCE = 2;
 
@@ -93,13 +96,14 @@
     /**
      * Applies what another process has learned of the target. A decrease of which this process does not know is taken over;
      * about the same time, both have halved for the same reason. Otherwise the highest limit holds, unless it is from before
-     * a decrease that only this process knows.
+     * a decrease that only this process knows. The same need again has no effect: the delay of each repetition would otherwise
+     * make it younger, so that the ramp might never end.
      *
      * @param other the limit at the other process, with times of this process
      * @return the updated limit
      */
     public ConcurrencyRamp merge(ConcurrencyRamp other) {
-        long lastNeededAt = Math.max(neededAt, other.neededAt);
+        long lastNeededAt = other.neededAt - neededAt > SAME_NEED_MS ? other.neededAt : neededAt;
         if (isLater(other.decreasedAt, decreasedAt)) {
             return new ConcurrencyRamp(Math.min(limit, other.limit), lastNeededAt, increasedAt, other.decreasedAt);
         }
--- a/routing/src/test/java/org/bamboohatch/routing/retry/ConcurrencyRampTest.java
+++ b/routing/src/test/java/org/bamboohatch/routing/retry/ConcurrencyRampTest.java
@@ -83,4 +83,22 @@
         assertThat(ConcurrencyRamp.isInTime(450, 240, 300)).isTrue();
         assertThat(ConcurrencyRamp.isInTime(500, 240, 300)).isFalse();
     }
+
+    /** Processes repeat their limits to each other; the ramp of a target without requests would otherwise not end. */
+    @Test
+    void aNeedThatIsRepeatedBecomesNoYounger() {
+        ConcurrencyRamp ramp = ConcurrencyRamp.begin(0);
+        for (int time = 0; time < 1_000; time++) {
+            ramp = ramp.merge(
+                    new ConcurrencyRamp(ramp.limit(), ramp.neededAt() + 20, ramp.increasedAt(), ramp.decreasedAt()));
+        }
+        assertThat(ramp.isOver(8, ConcurrencyRamp.UNNEEDED_MS)).isTrue();
+    }
+
+    @Test
+    void aLaterNeedAtAnotherProcessCounts() {
+        ConcurrencyRamp ramp =
+                ConcurrencyRamp.begin(0).merge(ConcurrencyRamp.begin(0).afterHoldOff(20_000));
+        assertThat(ramp.isOver(8, ConcurrencyRamp.UNNEEDED_MS)).isFalse();
+    }
 }
