--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/AttemptDispatcher.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/AttemptDispatcher.java
@@ -203,6 +203,7 @@
      * @return whether the target accepts requests and no helper is in an evacuated zone
      */
     boolean maySend(AttemptResources resources, long now) {
+        targets.applyArrivedReports();
         return targets.acceptsRequests(resources.target(), now) && !hasEvacuatedHelper(resources);
     }
 
--- a/routing/src/main/java/org/bamboohatch/routing/wait/DispatchPolicy.java
+++ b/routing/src/main/java/org/bamboohatch/routing/wait/DispatchPolicy.java
@@ -171,6 +171,10 @@
     /**
      * Decides about a strict request that no engine can begin now. Where waiting is in vain, an engine with a free slot may
      * still answer it, though late.
+     *
+     * @param request the request
+     * @param ahead what waits at this gateway and is expected to be sent before it
+     * @param now current time, in milliseconds
      */
     private DispatchDecision waitForReadyEngine(QueuedGeneration request, WorkAhead ahead, long now) {
         DispatchDecision decision = waitOrRefuse(request, strictReason(), ahead, now);
