Keep a report that cannot be applied from failing a request

Cause: arrived reports are now applied before each decision, on the call path of a request. A report that can be decoded but not applied, as one with a limit of no target, threw from there; the exception failed the request.

Change: such a report is logged and dropped. The test that waits for presence reports gets a receive timeout, since a blocked receive cannot be interrupted.

Test: LoadExchangeTest.aReportThatCannotBeAppliedFailsNoDecision.

--- a/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
@@ -443,8 +443,9 @@
         }
         try {
             apply(MessageCodec.instance().decode(datagram, GatewayLoad.class), peer, GatewayClock.now());
-        } catch (IOException malformed) {
-            LOGGER.warn("load: malformed report from {}: {}", sender, malformed.getMessage());
+        } catch (IOException | RuntimeException malformed) {
+            // Reports are also applied while a request is served, which must not fail because of one of them.
+            LOGGER.warn("load: malformed report from {}: {}", sender, malformed.toString());
         }
     }
 }
--- a/gateway/src/test/java/org/bamboohatch/gateway/load/LoadExchangeTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/load/LoadExchangeTest.java
@@ -35,6 +35,9 @@
 @Timeout(30)
 class LoadExchangeTest {
 
+    /** Time after which a test fails instead of waiting for a report that is not sent, in milliseconds. */
+    private static final int RECEIVE_TIMEOUT_MS = 60_000;
+
     private static final TargetName ENGINE = new TargetName("engine-a");
 
     private final EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
@@ -267,11 +270,52 @@
         }
     }
 
+    /**
+     * Reports are applied while requests are served. A report that can be decoded but not applied must neither fail the
+     * request nor keep the reports behind it from being read.
+     */
+    @Test
+    void aReportThatCannotBeAppliedFailsNoDecision() throws Exception {
+        second.exchange.start();
+        try (DatagramSocket peer = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
+            GatewayLoad.Limit withoutTarget = new GatewayLoad.Limit(null, 1, 2.0, 0);
+            byte[] unusable = MessageCodec.instance().encode(report(1, List.of(), List.of(withoutTarget)));
+            GatewayLoad.TargetWork work = new GatewayLoad.TargetWork(ENGINE, 3, 0, 0, 0, 0, 0);
+            byte[] usable = MessageCodec.instance().encode(report(2, List.of(work), List.of()));
+            int known = onLoop(() -> {
+                second.exchange.apply(List.of(second.address, "127.0.0.1:" + peer.getLocalPort()));
+                for (byte[] bytes : List.of(unusable, usable)) {
+                    peer.send(
+                            new DatagramPacket(bytes, bytes.length, InetAddress.getByName("127.0.0.1"), second.port()));
+                }
+                second.loadTracker.trigger().applyArrivedReports();
+                return runsKnownTo(second);
+            });
+            assertThat(known).isEqualTo(3);
+        }
+    }
+
+    private static GatewayLoad report(
+            long number, List<GatewayLoad.TargetWork> targets, List<GatewayLoad.Limit> limits) {
+        return new GatewayLoad(
+                "gateway-3",
+                new ZoneName("zone-a"),
+                1,
+                number,
+                targets,
+                List.of(),
+                List.of(),
+                List.of(),
+                limits,
+                List.of());
+    }
+
     /** A gateway that reports at intervals only, without load, would be counted to no zone after a lost first report. */
     @Test
     void gatewaysWithoutLoadReportTheirPresence() throws Exception {
         first.exchange.start();
         try (DatagramSocket peer = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
+            peer.setSoTimeout(RECEIVE_TIMEOUT_MS);
             onLoop(() -> {
                 first.exchange.apply(List.of(first.address, "127.0.0.1:" + peer.getLocalPort()));
                 return null;
