Date reported statements of targets from the earliest arrival of the report

Cause: reports wait up to 50 ms to be read, and the age of a limit, a crash or a generation and the rest of a pause were counted from the reading. Gateways repeat what they have heard, so each repetition made a limit younger and a pause longer by up to 50 ms. A limit that had ended was put in force again by the repetition of another gateway that waited to be read.

Change: ages count from the previous reading of the socket, the earliest time at which the report may have arrived. A pause that is not known counts from the reading, so it ends late rather than early; a known one is only extended by more than the time that reports wait.

Test: LoadExchangeTest.waitingForTheReadingDoesNotMakeRepeatedStatementsYounger, which fails when ages count from the reading (the ended limit is in force again).

--- a/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
@@ -108,6 +108,9 @@
 
     private long lastTickAt;
 
+    /** Time up to which all reports that had arrived have been read, in milliseconds. */
+    private long readUpTo;
+
     /**
      * Content of a report.
      *
@@ -209,6 +212,7 @@
         }
         loop.submit(() -> {
                     loadTracker.trigger().connect(this::receiveReports, this::reportSoon);
+                    readUpTo = GatewayClock.now();
                     scheduleTick(ReportSchedule.NEAR_INTERVAL_MS, GatewayClock.now());
                 })
                 .syncUninterruptibly();
@@ -396,13 +400,16 @@
     }
 
     /**
-     * Applies a report, unless it was overtaken by a later one.
+     * Applies a report, unless it was overtaken by a later one. What it tells of the past is dated from the earliest time at
+     * which it may have arrived: gateways repeat to each other what they have heard, and the latest word of a target holds,
+     * so a word that became younger with each reading would outlast the one that replaces it.
      *
      * @param report the report
      * @param peer the gateway that sent it
+     * @param arrivedAt earliest time at which the report may have arrived, in milliseconds
      * @param now current time, in milliseconds
      */
-    private void apply(GatewayLoad report, Peer peer, long now) {
+    private void apply(GatewayLoad report, Peer peer, long arrivedAt, long now) {
         if (peer.start == report.start() && report.number() <= peer.number) {
             return;
         }
@@ -416,24 +423,43 @@
         report.targets().forEach(target -> workloads.put(target.target(), target.toWorkload()));
         loadTracker.applyReport(report.gateway(), workloads, now);
         report.leaving().forEach(target -> leavingTargets.addReported(target.toIncarnation(), now));
-        report.pauses().forEach(pause -> pauses.addReported(pause.toIncarnation(), now + pause.leftMillis(), now));
-        report.limits().forEach(limit -> limits.apply(limit.toStatement(now), now));
+        report.pauses().forEach(pause -> addPause(pause, arrivedAt, now));
+        report.limits().forEach(limit -> limits.apply(limit.toStatement(arrivedAt), now));
         quarantine.apply(
                 new Observations(
                         report.crashes().stream()
-                                .map(crash -> crash.toTargetCrash(now))
+                                .map(crash -> crash.toTargetCrash(arrivedAt))
                                 .toList(),
                         report.generated().stream()
                                 .collect(Collectors.toMap(
                                         GatewayLoad.GeneratedTrait::trait,
-                                        generated -> now - generated.ageMillis(),
+                                        generated -> arrivedAt - generated.ageMillis(),
                                         Math::max))),
                 now);
     }
 
+    /**
+     * Adds a reported pause. It ends late rather than early. A pause that is known already is not extended by the time that
+     * reports wait to be read, since gateways repeat to each other what they have heard.
+     *
+     * @param pause the pause
+     * @param arrivedAt earliest time at which the report may have arrived, in milliseconds
+     * @param now current time, in milliseconds
+     */
+    private void addPause(GatewayLoad.Pause pause, long arrivedAt, long now) {
+        TargetIncarnation target = pause.toIncarnation();
+        long known = pauses.pausedUntil(target);
+        if (known == 0 || arrivedAt + pause.leftMillis() > known + ReportSchedule.READ_INTERVAL_MS) {
+            pauses.addReported(target, now + pause.leftMillis(), now);
+        }
+    }
+
     /** Applies the reports of other gateways that have arrived. What others send is dropped unread. */
     private void receiveReports() {
-        socket.receive(this::receive);
+        long now = GatewayClock.now();
+        if (socket.receive(this::receive)) {
+            readUpTo = now;
+        }
     }
 
     private void receive(SocketAddress sender, byte[] datagram) {
@@ -442,7 +468,7 @@
             return;
         }
         try {
-            apply(MessageCodec.instance().decode(datagram, GatewayLoad.class), peer, GatewayClock.now());
+            apply(MessageCodec.instance().decode(datagram, GatewayLoad.class), peer, readUpTo, GatewayClock.now());
         } catch (IOException | RuntimeException malformed) {
             // Reports are also applied while a request is served, which must not fail because of one of them.
             LOGGER.warn("load: malformed report from {}: {}", sender, malformed.toString());
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/ReportSocket.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/ReportSocket.java
@@ -81,14 +81,15 @@
      * Reads the datagrams that have arrived, up to a maximum number.
      *
      * @param consumer receives the sender and the content of each
+     * @return whether all that had arrived were read
      */
-    void receive(BiConsumer<SocketAddress, byte[]> consumer) {
+    boolean receive(BiConsumer<SocketAddress, byte[]> consumer) {
         try {
             for (int reads = 0; reads < MAX_READS; reads++) {
                 buffer.clear();
                 SocketAddress sender = channel.receive(buffer);
                 if (sender == null) {
-                    return;
+                    return true;
                 }
                 byte[] datagram = new byte[buffer.flip().remaining()];
                 buffer.get(datagram);
@@ -99,6 +100,7 @@
         } catch (IOException failed) {
             LOGGER.debug("load: socket cannot be read: {}", failed.toString());
         }
+        return false;
     }
 
     boolean isOpen() {
--- a/gateway/src/test/java/org/bamboohatch/gateway/load/LoadExchangeTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/load/LoadExchangeTest.java
@@ -36,7 +36,7 @@
 class LoadExchangeTest {
 
     /** Time after which a test fails instead of waiting for a report that is not sent, in milliseconds. */
-    private static final int RECEIVE_TIMEOUT_MS = 60_000;
+    private static final int RECEIVE_TIMEOUT_MS = 20_000;
 
     private static final TargetName ENGINE = new TargetName("engine-a");
 
@@ -310,6 +310,45 @@
                 List.of());
     }
 
+    /**
+     * Gateways repeat to each other what targets have said. If a report that waited to be read was dated from its reading,
+     * the repetition of a limit would be later than the end of the limit and put it in force again, and each repetition
+     * would extend a pause. The reports of the other gateway wait here while this one hears the end of the limit.
+     */
+    @Test
+    void waitingForTheReadingDoesNotMakeRepeatedStatementsYounger() throws Exception {
+        second.exchange.start();
+        TargetIncarnation engine = new TargetIncarnation(ENGINE, 7);
+        try (DatagramSocket peer = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
+            onLoop(() -> {
+                second.exchange.apply(List.of(second.address, "127.0.0.1:" + peer.getLocalPort()));
+                second.loadTracker.trigger().applyArrivedReports();
+                long begin = GatewayClock.now();
+                second.limits.recordLimit(engine, 0.5, begin - 5);
+                second.pauses.add(engine, 30_000, begin - 5);
+                GatewayLoad repeated = new GatewayLoad(
+                        "gateway-3",
+                        new ZoneName("zone-a"),
+                        1,
+                        1,
+                        List.of(),
+                        List.of(),
+                        List.of(),
+                        List.of(),
+                        List.of(new GatewayLoad.Limit(ENGINE, 7, 0.5, 5)),
+                        List.of(new GatewayLoad.Pause(ENGINE, 7, 29_995)));
+                byte[] bytes = MessageCodec.instance().encode(repeated);
+                peer.send(new DatagramPacket(bytes, bytes.length, InetAddress.getByName("127.0.0.1"), second.port()));
+                assertThat(second.limits.recordNoLimit(engine, begin, begin)).isTrue();
+                Thread.sleep(100);
+                second.loadTracker.trigger().applyArrivedReports();
+                assertThat(second.limits.nextSendAt(engine, GatewayClock.now())).isZero();
+                assertThat(second.pauses.pausedUntil(engine)).isEqualTo(begin - 5 + 30_000);
+                return null;
+            });
+        }
+    }
+
     /** A gateway that reports at intervals only, without load, would be counted to no zone after a lost first report. */
     @Test
     void gatewaysWithoutLoadReportTheirPresence() throws Exception {
