Apply arrived load reports before all decisions that depend on them

Cause: reports are read every 50 ms unless a decision reads them. The decision on a retry, the retry delay of a refusal, the admission in spite of the quarantine and the judgement whether a target has crashed did not, so they rested on a view that was up to 50 ms older than before. A target that another gateway had reported as leaving could be taken for crashed.

Change: these decisions read the arrived reports first.

Test: TargetCatalogTest.decisionsApplyArrivedReports and anEndIsNoCrashIfAnArrivedReportNamesTheTargetAsLeaving; both pass.

--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/RequestMonitor.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/RequestMonitor.java
@@ -42,6 +42,7 @@
      * @return what keeps the request from all targets, empty if the attempt may begin
      */
     Optional<RequestQuarantine.Entry> admit(long now) {
+        targets.applyArrivedReports();
         Optional<RequestQuarantine.Entry> quarantined = quarantine.find(traits, now);
         trial = quarantined.isPresent()
                 && quarantine.beginTrial(quarantined.get().trait(), now);
@@ -98,6 +99,7 @@
      * @param now current time, in milliseconds
      */
     void recordCrash(TargetAddress target, long now) {
+        targets.applyArrivedReports();
         if (!targets.isLeaving(target)) {
             quarantine.recordCrash(target.toIncarnation(), traits, now);
         }
--- a/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetCatalog.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/forward/TargetCatalog.java
@@ -152,6 +152,7 @@
      * @return whether there is such a target, ejected or not
      */
     boolean hasCandidate(ServiceName service, Set<TargetName> excluded, long now) {
+        applyArrivedReports();
         return members.getOrDefault(service, List.of()).stream().anyMatch(member -> mayBeSentTo(member, excluded, now));
     }
 
@@ -216,6 +217,7 @@
      * @return the shortest time in milliseconds, empty if a target accepts requests or all are leaving
      */
     OptionalLong shortestPauseMillis(ServiceName service, long now) {
+        applyArrivedReports();
         OptionalLong shortest = view.targetsOf(service).stream()
                 .map(TargetCatalog::address)
                 .filter(address -> !leaving.contains(address))
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/ExchangeTrigger.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/ExchangeTrigger.java
@@ -18,7 +18,7 @@
      * @param applyArrived applies the reports that have arrived
      * @param reportSoon schedules a report
      */
-    void connect(Runnable applyArrived, Runnable reportSoon) {
+    public void connect(Runnable applyArrived, Runnable reportSoon) {
         this.receiver = applyArrived;
         this.reporter = reportSoon;
     }
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/TargetCatalogTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/TargetCatalogTest.java
@@ -13,6 +13,7 @@
 import org.bamboohatch.gateway.target.TargetLimits;
 import org.bamboohatch.gateway.target.TargetPauses;
 import org.bamboohatch.kernel.id.HostName;
+import org.bamboohatch.kernel.id.RequestTrait;
 import org.bamboohatch.kernel.id.ServiceName;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.id.ZoneName;
@@ -69,6 +70,33 @@
         assertThat(hasCandidate(2_100)).isTrue();
     }
 
+    /** Arrived reports are read at intervals only; a decision between two of them would rest on an older view. */
+    @Test
+    void decisionsApplyArrivedReports() {
+        int[] readings = new int[1];
+        state.loadTracker().trigger().connect(() -> readings[0]++, () -> {});
+        catalog.candidates(SERVICE, Set.of(), 0);
+        assertThat(readings[0]).as("choice of a target").isEqualTo(1);
+        catalog.hasCandidate(SERVICE, Set.of(), 0);
+        assertThat(readings[0]).as("decision on a retry").isEqualTo(2);
+        catalog.shortestPauseMillis(SERVICE, 0);
+        assertThat(readings[0]).as("retry delay of a refusal").isEqualTo(3);
+        new RequestMonitor(state.quarantine(), catalog, List.of()).admit(0);
+        assertThat(readings[0]).as("admission in spite of the quarantine").isEqualTo(4);
+    }
+
+    /** A target that leaves ends its connections; taken for a crash, this puts requests into quarantine. */
+    @Test
+    void anEndIsNoCrashIfAnArrivedReportNamesTheTargetAsLeaving() {
+        List<RequestTrait> traits = List.of(new RequestTrait("part-1"));
+        state.loadTracker()
+                .trigger()
+                .connect(() -> state.leavingTargets().addReported(TARGET.toIncarnation(), 0), () -> {});
+        RequestQuarantine.PendingReport report = state.quarantine().newReport();
+        new RequestMonitor(state.quarantine(), catalog, traits).recordCrash(TARGET, 0);
+        assertThat(report.takeChanges().crashes()).isEmpty();
+    }
+
     @Test
     void ejectionIsNoPause() {
         for (int failure = 0; failure < 3; failure++) {
