Delay only registrations while many of them wait for a leader

Cause: the calls of operators share the client with the registrations of all targets. With 60 of them waiting, an operator's call was repeated every 250 ms instead of every 50 ms, and operators give up after one second. Programs of other installations, whose claims of runs use the same client, waited longer as well.

Change: the delay grows with the number of waiting registrations, and for registrations only.

--- a/protocol/src/main/java/org/bamboohatch/protocol/client/ControlClient.java
+++ b/protocol/src/main/java/org/bamboohatch/protocol/client/ControlClient.java
@@ -30,8 +30,8 @@
     /** Longest delay before the next attempt, so that a call with a timeout of a second has several attempts. */
     private static final long MAX_RETRY_DELAY_MS = 250;
 
-    /** Number of calls that wait for their next attempt up to which they wait no longer than a single one. */
-    private static final int FEW_WAITING_CALLS = 8;
+    /** Number of waiting registrations that make the delay of each longer by {@link #RETRY_DELAY_MS}. */
+    private static final int REGISTRATIONS_PER_DELAY = 8;
 
     private static final long NANOS_PER_MS = 1_000_000;
 
@@ -44,8 +44,8 @@
 
     private final Map<String, Link> links = new ConcurrentHashMap<>();
 
-    /** Number of calls that wait for their next attempt. */
-    private final AtomicInteger waitingCalls = new AtomicInteger();
+    /** Number of registrations that wait for their next attempt. */
+    private final AtomicInteger waitingRegistrations = new AtomicInteger();
 
     /** Address of the process that is assumed to be the leader. */
     private final AtomicReference<String> leader;
@@ -172,23 +172,29 @@
             network.after(Duration.ZERO, () -> sendAttempt(request, deadline, reply));
             return;
         }
-        network.after(Duration.ofMillis(retryDelayMillis(waitingCalls.incrementAndGet())), () -> {
-            waitingCalls.decrementAndGet();
+        int counted = request instanceof ControlRequest.Register ? 1 : 0;
+        long delay = retryDelayMillis(request, waitingRegistrations.addAndGet(counted));
+        network.after(Duration.ofMillis(delay), () -> {
+            waitingRegistrations.addAndGet(-counted);
             sendAttempt(request, deadline, reply);
         });
     }
 
     /**
-     * Returns the delay before the next attempt of a call. While there is no leader, the attempts of all calls burden the
+     * Returns the delay before the next attempt of a call. While there is no leader, the attempts of registrations burden the
      * processes that elect one: those of 60 targets, each every 50 ms, were 1,200 a second in the seconds after the
-     * programs had started on a fraction of a core, and leaders lost their quorum. So the more calls wait, the longer
-     * each of them waits.
+     * programs had started on a fraction of a core, and leaders lost their quorum. So the more of them wait, the longer
+     * each of them waits. Targets repeat them anyhow; the other calls, such as those of operators, wait no longer for them.
      *
-     * @param waiting number of calls that wait for their next attempt, including this one
+     * @param request the request of the call
+     * @param waiting number of registrations that wait for their next attempt, including this call
      * @return the delay in milliseconds
      */
-    static long retryDelayMillis(int waiting) {
-        return Math.min(MAX_RETRY_DELAY_MS, RETRY_DELAY_MS * Math.max(1, waiting / FEW_WAITING_CALLS));
+    static long retryDelayMillis(ControlRequest request, int waiting) {
+        if (!(request instanceof ControlRequest.Register)) {
+            return RETRY_DELAY_MS;
+        }
+        return Math.min(MAX_RETRY_DELAY_MS, RETRY_DELAY_MS * Math.max(1, waiting / REGISTRATIONS_PER_DELAY));
     }
 
     private Link link(String address) {
