--- a/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/LoadExchange.java
@@ -10,12 +10,10 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
-import java.util.stream.IntStream;
 
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -46,12 +44,6 @@
 
     private static final Logger LOGGER = LogManager.getLogger(LoadExchange.class);
 
-    /** Targets or traits in one datagram, so that it fits into a packet of a usual network. */
-    private static final int TARGETS_PER_REPORT = 24;
-
-    /** Pieces of crashes in one datagram, each with several suspects. */
-    private static final int CRASHES_PER_REPORT = 4;
-
     /** Complete reports in a row after a gateway has started, as each of them may be lost. */
     private static final int NEWCOMER_REPORTS = 3;
 
@@ -117,39 +109,8 @@
 
     private long lastTickAt;
 
-    /**
-     * Content of a report.
-     *
-     * @param workloads the load by target
-     * @param leaving targets that are about to end
-     * @param observations crashes of targets and the traits of requests that are suspected of them
-     * @param limits limits that targets have named
-     * @param pauses the end of each pause that a target has asked for, in milliseconds, by target
-     * @param cold cold times of targets
-     * @param ramps limits of targets that have started
-     * @param waiting the requests that wait at this gateway, empty if they are unchanged
-     */
-    private record Content(
-            Map<TargetName, Workload> workloads,
-            List<TargetIncarnation> leaving,
-            Observations observations,
-            List<TargetLimits.Statement> limits,
-            Map<TargetIncarnation, Long> pauses,
-            List<ColdTargets.Statement> cold,
-            List<TargetRamps.Statement> ramps,
-            Optional<GatewayLoad.WaitingState> waiting) {
-
-        boolean isEmpty() {
-            return workloads.isEmpty()
-                    && leaving.isEmpty()
-                    && observations.isEmpty()
-                    && limits.isEmpty()
-                    && pauses.isEmpty()
-                    && cold.isEmpty()
-                    && ramps.isEmpty()
-                    && waiting.isEmpty();
-        }
-    }
+    /** Time up to which all reports that had arrived have been read, in milliseconds. */
+    private long readUpTo;
 
     /** A group of gateways that get the same reports, and what is still to be reported to them. */
     private final class Audience {
@@ -177,8 +138,8 @@
          * @param now current time, in milliseconds
          * @return the content of the report
          */
-        Content take(boolean complete, long now) {
-            Content content = new Content(
+        ReportContent take(boolean complete, long now) {
+            ReportContent content = new ReportContent(
                     complete ? pendingLoad.takeAll() : pendingLoad.takeChanges(),
                     List.copyOf(pendingLeaving),
                     complete ? pendingObservations.takeAll(now) : pendingObservations.takeChanges(),
@@ -239,6 +200,7 @@
         }
         loop.submit(() -> {
                     loadTracker.trigger().connect(this::receiveReports, this::reportSoon);
+                    readUpTo = GatewayClock.now();
                     scheduleTick(ReportSchedule.NEAR_INTERVAL_MS, GatewayClock.now());
                 })
                 .syncUninterruptibly();
@@ -367,83 +329,30 @@
      * @param presence whether the report is sent even if there is nothing to report
      * @param now current time, in milliseconds
      */
-    private void send(List<InetSocketAddress> receivers, Content content, boolean presence, long now) {
+    private void send(List<InetSocketAddress> receivers, ReportContent content, boolean presence, long now) {
         if (receivers.isEmpty() || content.isEmpty() && !presence) {
             return;
         }
-        List<GatewayLoad.TargetWork> targets = content.workloads().entrySet().stream()
-                .map(target -> GatewayLoad.TargetWork.of(target.getKey(), target.getValue()))
-                .toList();
-        List<GatewayLoad.LeavingTarget> leaving =
-                content.leaving().stream().map(GatewayLoad.LeavingTarget::of).toList();
-        List<GatewayLoad.Crash> crashes = content.observations().crashes().stream()
-                .flatMap(crash -> GatewayLoad.Crash.of(crash, now))
-                .toList();
-        List<GatewayLoad.GeneratedTrait> generated = content.observations().generatedAt().entrySet().stream()
-                .map(trait -> new GatewayLoad.GeneratedTrait(trait.getKey(), now - trait.getValue()))
-                .toList();
-        List<GatewayLoad.Limit> namedLimits = content.limits().stream()
-                .map(statement -> GatewayLoad.Limit.of(statement, now))
-                .toList();
-        List<GatewayLoad.Pause> askedPauses = content.pauses().entrySet().stream()
-                .map(pause -> GatewayLoad.Pause.of(pause.getKey(), pause.getValue(), now))
-                .toList();
-        List<GatewayLoad.ColdTime> coldTimes = content.cold().stream()
-                .map(statement -> GatewayLoad.ColdTime.of(statement, now))
-                .toList();
-        List<GatewayLoad.Ramp> limitedRuns = content.ramps().stream()
-                .map(statement -> GatewayLoad.Ramp.of(statement, now))
-                .toList();
-        int datagrams = IntStream.of(
-                        1,
-                        pages(targets, TARGETS_PER_REPORT),
-                        pages(leaving, TARGETS_PER_REPORT),
-                        pages(crashes, CRASHES_PER_REPORT),
-                        pages(generated, TARGETS_PER_REPORT),
-                        pages(namedLimits, TARGETS_PER_REPORT),
-                        pages(askedPauses, TARGETS_PER_REPORT),
-                        pages(coldTimes, TARGETS_PER_REPORT),
-                        pages(limitedRuns, TARGETS_PER_REPORT))
-                .max()
-                .getAsInt();
-        for (int datagram = 0; datagram < datagrams; datagram++) {
-            lastNumber++;
-            byte[] report = MessageCodec.instance()
-                    .encode(new GatewayLoad(
-                            settings.host().value(),
-                            settings.zone(),
-                            start,
-                            lastNumber,
-                            page(targets, datagram, TARGETS_PER_REPORT),
-                            page(leaving, datagram, TARGETS_PER_REPORT),
-                            page(crashes, datagram, CRASHES_PER_REPORT),
-                            page(generated, datagram, TARGETS_PER_REPORT),
-                            page(namedLimits, datagram, TARGETS_PER_REPORT),
-                            page(askedPauses, datagram, TARGETS_PER_REPORT),
-                            page(coldTimes, datagram, TARGETS_PER_REPORT),
-                            page(limitedRuns, datagram, TARGETS_PER_REPORT),
-                            datagram == datagrams - 1 ? content.waiting().orElse(null) : null));
-            socket.send(report, receivers);
-        }
-    }
-
-    private static int pages(List<?> elements, int pageSize) {
-        return (elements.size() + pageSize - 1) / pageSize;
+        content.toReports(settings.host().value(), settings.zone(), start, this::nextNumber, now)
+                .forEach(report -> socket.send(MessageCodec.instance().encode(report), receivers));
     }
 
-    private static <T> List<T> page(List<T> elements, int number, int pageSize) {
-        int begin = Math.min(elements.size(), number * pageSize);
-        return elements.subList(begin, Math.min(elements.size(), begin + pageSize));
+    private long nextNumber() {
+        lastNumber++;
+        return lastNumber;
     }
 
     /**
-     * Applies a report, unless it was overtaken by a later one.
+     * Applies a report, unless it was overtaken by a later one. What it tells of the past is dated from the earliest time at
+     * which it may have arrived: gateways repeat to each other what they have heard, and the latest word of a target holds,
+     * so a word that became younger with each reading would outlast the one that replaces it.
      *
      * @param report the report
      * @param peer the gateway that sent it
+     * @param arrivedAt earliest time at which the report may have arrived, in milliseconds
      * @param now current time, in milliseconds
      */
-    private void apply(GatewayLoad report, Peer peer, long now) {
+    private void apply(GatewayLoad report, Peer peer, long arrivedAt, long now) {
         if (peer.start == report.start() && report.number() <= peer.number) {
             return;
         }
@@ -457,27 +366,46 @@
         report.targets().forEach(target -> workloads.put(target.target(), target.toWorkload()));
         loadTracker.applyReport(report.gateway(), workloads, now);
         report.leaving().forEach(target -> leavingTargets.addReported(target.toIncarnation(), now));
-        report.pauses().forEach(pause -> pauses.addReported(pause.toIncarnation(), now + pause.leftMillis(), now));
+        report.pauses().forEach(pause -> addPause(pause, arrivedAt, now));
         waitingWork.apply(report.gateway(), report.waiting(), now);
-        report.limits().forEach(limit -> limits.apply(limit.toStatement(now), now));
-        report.cold().forEach(coldTime -> coldTargets.apply(coldTime.toStatement(now), now));
-        report.ramps().forEach(ramp -> ramps.apply(ramp.toStatement(now), now));
+        report.limits().forEach(limit -> limits.apply(limit.toStatement(arrivedAt), now));
+        report.cold().forEach(coldTime -> coldTargets.apply(coldTime.toStatement(arrivedAt), now));
+        report.ramps().forEach(ramp -> ramps.apply(ramp.toStatement(arrivedAt), now));
         quarantine.apply(
                 new Observations(
                         report.crashes().stream()
-                                .map(crash -> crash.toTargetCrash(now))
+                                .map(crash -> crash.toTargetCrash(arrivedAt))
                                 .toList(),
                         report.generated().stream()
                                 .collect(Collectors.toMap(
                                         GatewayLoad.GeneratedTrait::trait,
-                                        generated -> now - generated.ageMillis(),
+                                        generated -> arrivedAt - generated.ageMillis(),
                                         Math::max))),
                 now);
     }
 
+    /**
+     * Adds a reported pause. It ends late rather than early. A pause that is known already is not extended by the time that
+     * reports wait to be read, since gateways repeat to each other what they have heard.
+     *
+     * @param pause the pause
+     * @param arrivedAt earliest time at which the report may have arrived, in milliseconds
+     * @param now current time, in milliseconds
+     */
+    private void addPause(GatewayLoad.Pause pause, long arrivedAt, long now) {
+        TargetIncarnation target = pause.toIncarnation();
+        long known = pauses.pausedUntil(target);
+        if (known == 0 || arrivedAt + pause.leftMillis() > known + ReportSchedule.READ_INTERVAL_MS) {
+            pauses.addReported(target, now + pause.leftMillis(), now);
+        }
+    }
+
     /** Applies the reports of other gateways that have arrived. What others send is dropped unread. */
     private void receiveReports() {
-        socket.receive(this::receive);
+        long now = GatewayClock.now();
+        if (socket.receive(this::receive)) {
+            readUpTo = now;
+        }
     }
 
     private void receive(SocketAddress sender, byte[] datagram) {
@@ -486,9 +414,10 @@
             return;
         }
         try {
-            apply(MessageCodec.instance().decode(datagram, GatewayLoad.class), peer, GatewayClock.now());
-        } catch (IOException malformed) {
-            LOGGER.warn("load: malformed report from {}: {}", sender, malformed.getMessage());
+            apply(MessageCodec.instance().decode(datagram, GatewayLoad.class), peer, readUpTo, GatewayClock.now());
+        } catch (IOException | RuntimeException malformed) {
+            // Reports are also applied while a request is served, which must not fail because of one of them.
+            LOGGER.warn("load: malformed report from {}: {}", sender, malformed.toString());
         }
     }
 }
