Load the codec before a test that depends on the time of its first use

The other end of its connection is a thread of the test, whose first message took longer than a connection waits, as the codec was still being loaded. The assertions are unchanged.

--- a/protocol/src/test/java/org/bamboohatch/protocol/transport/ReplyTest.java
+++ b/protocol/src/test/java/org/bamboohatch/protocol/transport/ReplyTest.java
@@ -23,6 +23,7 @@
 import org.bamboohatch.protocol.message.MessageCodec;
 import org.bamboohatch.protocol.transport.Connection.ConnectionLostException;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -46,6 +47,17 @@
 
     private Connection connection;
 
+    /**
+     * Loads the codec. The first message takes longer on a busy machine than a connection waits for a sign of life, and the
+     * other end of the connection is part of this process.
+     */
+    @BeforeAll
+    static void loadCodec() throws IOException {
+        MessageCodec codec = MessageCodec.instance();
+        codec.decode(codec.encode(new Frame(0, false, 1, new ConnectionMessage.Pong(null))), Frame.class);
+        codec.decode(codec.encode(new Frame(0, true, 1, reply(1))), Frame.class);
+    }
+
     @BeforeEach
     void connect() throws Exception {
         listener = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
