Send a short question to a busy engine only if its caller still waits then

Cause: where waiting was in vain, a strict request went to any engine with a free slot, also behind seconds of prefill.

Change: the first event has to be predicted before the caller leaves, otherwise the request is refused at once.

--- a/routing/src/main/java/org/bamboohatch/routing/wait/DispatchPolicy.java
+++ b/routing/src/main/java/org/bamboohatch/routing/wait/DispatchPolicy.java
@@ -170,7 +170,7 @@
 
     /**
      * Decides about a strict request that no engine can begin now. Where waiting is in vain, an engine with a free slot may
-     * still answer it, though late.
+     * still answer it before its caller leaves, though late.
      *
      * @param request the request
      * @param ahead what waits at this gateway and is expected to be sent before it
@@ -184,6 +184,7 @@
         List<Candidate> free =
                 candidates.stream().filter(DispatchPolicy::hasFreeSlot).toList();
         return place(request.demand(), free)
+                .filter(placement -> now + placement.timeToFirstTokenMillis() <= request.latestFirstEventAt())
                 .<DispatchDecision>map(Dispatch::new)
                 .orElse(decision);
     }
