--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/ColdZoneReplay.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/ColdZoneReplay.java
@@ -114,7 +114,7 @@
     private int present = GATEWAYS;
 
     /**
-     * What is replayed.
+     * Variant of a replay.
      *
      * @param limited whether the configuration names a rate of cold targets
      * @param lostReports share of load reports that are lost
@@ -418,7 +418,7 @@
         events.add(new Event(time, eventCount++, action));
     }
 
-    /** Tells all gateways of the membership, each after a delay of its own. */
+    /** Publishes the membership to all gateways, each after a delay of its own. */
     private void publish() {
         membershipVersion++;
         Map<TargetName, TargetAnnouncement> members = new HashMap<>();
--- a/routing/src/test/java/org/bamboohatch/routing/wait/DispatchPolicyTest.java
+++ b/routing/src/test/java/org/bamboohatch/routing/wait/DispatchPolicyTest.java
@@ -18,7 +18,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-/** What is sent, waits or is refused, by the load of the engines. */
+/** Requests are sent, wait or are refused depending on the load of the engines. */
 class DispatchPolicyTest {
 
     private static final EngineCostModel ENGINE =
