--- a/routing/src/main/java/org/bamboohatch/routing/wait/GenerationQueue.java
+++ b/routing/src/main/java/org/bamboohatch/routing/wait/GenerationQueue.java
@@ -184,7 +184,8 @@
     }
 
     /**
-     * Returns the waiting requests, the next one first. Those that can still be in time precede those that are late.
+     * Returns the waiting requests, the next one first. Those that can still be in time precede those that are late. The
+     * latest strict request comes first: in order of arrival all of them would be late once there are more than slots.
      *
      * @param policy decisions by the present load
      * @param now current time, in milliseconds
