Halt a process whose main loop ends by an error

The guard of main loops caught runtime exceptions and violations only.

It now halts on any error, also if the log can't be written then.

--- a/kernel/src/main/java/org/bamboohatch/kernel/service/Invariant.java
+++ b/kernel/src/main/java/org/bamboohatch/kernel/service/Invariant.java
@@ -50,14 +50,22 @@
      * @param description description of the violation
      */
     public static void halt(String description) {
-        LOGGER.fatal("invariant: violated, the process halts: {}", description, new Violation(description));
-        LogManager.shutdown();
-        Runtime.getRuntime().halt(EXIT_STATUS);
+        halt("invariant: violated, the process halts: " + description, new Violation(description));
+    }
+
+    private static void halt(String message, Throwable cause) {
+        try {
+            LOGGER.fatal(message, cause);
+            LogManager.shutdown();
+        } finally {
+            // After an error such as a lack of memory, writing the log may fail as well.
+            Runtime.getRuntime().halt(EXIT_STATUS);
+        }
     }
 
     /**
-     * Wraps the main loop of a thread that makes the process's decisions. Any runtime exception or violation halts the
-     * process because it would otherwise continue without these decisions.
+     * Wraps the main loop of a thread that makes the process's decisions. Any runtime exception or error, such as a lack
+     * of memory, halts the process because it would otherwise continue without these decisions.
      *
      * @param task main loop of the thread
      * @return the wrapped loop
@@ -66,9 +74,8 @@
         return () -> {
             try {
                 task.run();
-            } catch (Violation | RuntimeException unexpected) {
-                LOGGER.fatal("invariant: a main loop failed, the process halts", unexpected);
-                halt(unexpected.toString());
+            } catch (RuntimeException | Error unexpected) {
+                halt("invariant: a main loop failed, the process halts", unexpected);
             }
         };
     }
