Say in log and metrics how many voters there are, are needed and answer

A replica without a leader now logs every 3 s how many voters answer and how many replicas have an empty data folder. The leader logs an error if there are fewer voters than the tolerance needs for longer than a repair takes. /metrics has control.leader.known, control.voters and control.voters.desired.

--- a/control/src/main/java/org/bamboohatch/control/ControlMain.java
+++ b/control/src/main/java/org/bamboohatch/control/ControlMain.java
@@ -1,10 +1,7 @@
 package org.bamboohatch.control;
 
 import java.util.List;
-import java.util.function.BooleanSupplier;
 
-import io.micrometer.prometheusmetrics.PrometheusConfig;
-import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import org.bamboohatch.http.HealthHandler;
 import org.bamboohatch.http.HttpServerService;
 import org.bamboohatch.kernel.service.Program;
@@ -40,10 +37,10 @@
          *
          * @param settings settings of the control process
          * @param network network of the control process
-         * @param ready whether the process belongs to a replication group with a leader
+         * @param health readiness and metrics of the process
          * @return the service
          */
-        Service create(ControlSettings settings, Network network, BooleanSupplier ready);
+        Service create(ControlSettings settings, Network network, ControlHealth health);
     }
 
     /**
@@ -66,7 +63,9 @@
     public static Service create(ControlSettings settings, Extension extension) {
         ControlComponent component = DaggerControlComponent.factory().create(settings);
         FrameServer server = new FrameServer(component.network(), settings.listen(), component.server());
-        Service additional = extension.create(settings, component.network(), component.server()::isReady);
+        ControlHealth health =
+                new ControlHealth(component.server()::isReady, component.server()::voters, settings.voters());
+        Service additional = extension.create(settings, component.network(), health);
         // Services stop in reverse order: leadership is handed over while all others still answer.
         return new Service.Compound(
                 List.of(component.network(), component.replica(), server, additional, component.server()));
@@ -77,14 +76,14 @@
      *
      * @param settings settings of the control process
      * @param network network of the control process
-     * @param ready whether the process is ready
+     * @param health readiness and metrics of the process
      * @return the server, or an empty service if the settings have no address for it
      */
-    private static Service createHealthServer(ControlSettings settings, Network network, BooleanSupplier ready) {
+    private static Service createHealthServer(ControlSettings settings, Network network, ControlHealth health) {
         if (settings.http().isEmpty()) {
             return new Service.Compound(List.of());
         }
-        PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-        return new HttpServerService(settings.http(), MAX_HTTP_THREADS, new HealthHandler(ready, metrics));
+        return new HttpServerService(
+                settings.http(), MAX_HTTP_THREADS, new HealthHandler(health::isReady, health.metrics()));
     }
 }
--- a/control/src/main/java/org/bamboohatch/control/server/ControlServer.java
+++ b/control/src/main/java/org/bamboohatch/control/server/ControlServer.java
@@ -90,9 +90,14 @@
 
     private final EvacuationRequests evacuationRequests;
 
+    private final VoterShortage shortage;
+
     /** Whether a leader was known at the last sweep; written on the replica's thread, read by any thread. */
     private volatile boolean ready;
 
+    /** Number of voters at the last sweep; written on the replica's thread, read by any thread. */
+    private volatile int voters;
+
     /** Time of the next lease sweep, in milliseconds of the monotonic clock. */
     private long nextLeaseSweep;
 
@@ -120,6 +125,7 @@
         this.replica = replica;
         this.stateMachine = stateMachine;
         this.network = network;
+        this.shortage = new VoterShortage(settings.voters());
         this.answers = new SubscriberAnswers(stateMachine);
         this.session = new LeaderSession(settings, replica, stateMachine, network);
         this.subscriberRequests = new SubscriberRequests(session, stateMachine, answers, this::planPlacement);
@@ -288,11 +294,24 @@
         return ready;
     }
 
+    /**
+     * Returns the number of voters that this process knows; may be called by any thread.
+     *
+     * @return the number at the last sweep
+     */
+    public int voters() {
+        return voters;
+    }
+
     /** Ends expired leases, plans the placement, evicts old records and sends held replies that are due. */
     private void sweep() {
         session.refreshLeadership();
         ready = !replica.leaderAddress().isEmpty();
+        voters = replica.core().membership().voters().size();
         long now = ReplicaService.now();
+        if (session.leader() != null) {
+            shortage.update(voters, now);
+        }
         if (session.leader() != null && now >= nextLeaseSweep) {
             nextLeaseSweep = now + LEASE_SWEEP_INTERVAL_MS;
             boolean departed = session.leader().targets().sweep(now);
--- a/replication/src/main/java/org/bamboohatch/replication/driver/GroupBootstrap.java
+++ b/replication/src/main/java/org/bamboohatch/replication/driver/GroupBootstrap.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.bamboohatch.kernel.id.ReplicaId;
 import org.bamboohatch.replication.message.Member;
 import org.bamboohatch.replication.message.Membership;
 import org.bamboohatch.replication.message.ReplicaMessage.ProbeReply;
@@ -33,6 +34,9 @@
     /** Replicas that are members of a group, by address. */
     private final Map<String, Member> formedReplicas = new HashMap<>();
 
+    /** Whether the replicas that have answered since the latest summary are members of a group. */
+    private final Map<ReplicaId, Boolean> answers = new HashMap<>();
+
     /**
      * Creates the bootstrap state of a replica.
      *
@@ -49,6 +53,7 @@
 
     void handleProbeReply(ProbeReply reply) {
         String address = reply.member().address();
+        answers.put(reply.from(), reply.formed());
         if (reply.formed()) {
             emptyReplicas.remove(address);
             formedReplicas.put(address, reply.member());
@@ -58,6 +63,24 @@
         }
     }
 
+    /**
+     * Summarizes which replicas have answered since the previous summary. Voters that do not answer are down or cut off;
+     * replicas with an empty data folder in their place show that disks were lost.
+     *
+     * @param membership the membership in force at this replica
+     * @return the summary, for the log
+     */
+    String summarizeAnswers(Membership membership) {
+        long voters = membership.voters().stream()
+                .map(Member::replica)
+                .filter(replica -> replica.equals(self.replica()) || answers.getOrDefault(replica, false))
+                .count();
+        long empty = answers.values().stream().filter(formed -> !formed).count();
+        answers.clear();
+        return voters + " of " + membership.voters().size() + " voters answer, " + membership.quorum()
+                + " are needed, and " + empty + " other replicas have an empty data folder";
+    }
+
     /**
      * Indicates whether a snapshot is the bootstrap snapshot, so that no compaction has taken place since the
      * bootstrap.
--- a/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaService.java
+++ b/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaService.java
@@ -59,6 +59,9 @@
     /** Time between two attempts to bootstrap or join a group. */
     private static final long BOOTSTRAP_INTERVAL_MS = 300;
 
+    /** Time without a leader after which the log says which replicas answer, and between two such lines. */
+    private static final long LEADER_LOSS_REPORT_INTERVAL_MS = 3_000;
+
     private static final int MAX_BATCH_TASKS = 4_096;
 
     private static final long NANOS_PER_MS = 1_000_000;
@@ -98,6 +101,9 @@
 
     private long nextBootstrapAttempt;
 
+    /** Time of the next log line about the missing leader, or zero while there is a leader. */
+    private long nextLeaderLossReport;
+
     /**
      * A proposal whose entry is not applied yet.
      *
@@ -313,13 +319,26 @@
      * @throws IOException if the storage fails
      */
     private void step() throws IOException {
-        if (now() >= nextBootstrapAttempt && core.isLeaderLost(now())) {
+        boolean leaderLost = core.isLeaderLost(now());
+        if (now() >= nextBootstrapAttempt && leaderLost) {
             attemptBootstrap();
         }
+        reportLeaderLoss(leaderLost, now());
         stepper.step(now(), this::send, this::completeProposal);
         failLostProposals();
     }
 
+    private void reportLeaderLoss(boolean leaderLost, long now) {
+        if (!leaderLost) {
+            nextLeaderLossReport = 0;
+        } else if (nextLeaderLossReport == 0) {
+            nextLeaderLossReport = now + LEADER_LOSS_REPORT_INTERVAL_MS;
+        } else if (now >= nextLeaderLossReport) {
+            nextLeaderLossReport = now + LEADER_LOSS_REPORT_INTERVAL_MS;
+            LOGGER.warn("replica: there is no leader: {}", bootstrap.summarizeAnswers(core.membership()));
+        }
+    }
+
     private void completeProposal(LogEntry entry, Object result) {
         PendingProposal proposal = pendingProposals.remove(entry.index());
         if (proposal != null) {
