Redirect requests at control processes on hosts without a disk

A control process without a data folder now holds no replica. It looks for the leader, names it to clients and serves the operator API through it. A group is bootstrapped by those of the configured peers that have a disk.

--- a/control/src/main/java/org/bamboohatch/control/ControlMain.java
+++ b/control/src/main/java/org/bamboohatch/control/ControlMain.java
@@ -1,9 +1,12 @@
 package org.bamboohatch.control;
 
 import java.util.List;
+import java.util.function.Supplier;
 
+import org.bamboohatch.control.redirect.LeaderRedirect;
 import org.bamboohatch.http.HealthHandler;
 import org.bamboohatch.http.HttpServerService;
+import org.bamboohatch.kernel.event.Timeline;
 import org.bamboohatch.kernel.service.Program;
 import org.bamboohatch.kernel.service.Service;
 import org.bamboohatch.kernel.settings.SettingsCommandLine;
@@ -50,17 +53,33 @@
      * @param extension creates an additional service
      */
     public static void run(ControlSettings settings, Extension extension) {
-        Program.run(PROGRAM, create(settings, extension));
+        Program.run(PROGRAM, create(settings, settings::peers, extension));
     }
 
     /**
-     * Creates a control process.
+     * Creates a control process. On a host without a disk it redirects requests to the leader.
      *
      * @param settings settings of the control process
+     * @param seeds returns the addresses of control processes in the current settings, which may have changed
      * @param extension creates an additional service
      * @return a service that runs the whole process
      */
-    public static Service create(ControlSettings settings, Extension extension) {
+    public static Service create(ControlSettings settings, Supplier<List<String>> seeds, Extension extension) {
+        return settings.dataFolder().isEmpty()
+                ? createRedirect(settings, seeds, extension)
+                : createReplica(settings, extension);
+    }
+
+    private static Service createRedirect(ControlSettings settings, Supplier<List<String>> seeds, Extension extension) {
+        Network network = new Network(
+                ControlModule.NETWORK_THREADS, new Timeline(settings.host().value(), Timeline.DEFAULT_CAPACITY));
+        LeaderRedirect redirect = new LeaderRedirect(settings, network, seeds);
+        FrameServer server = new FrameServer(network, settings.listen(), redirect);
+        ControlHealth health = new ControlHealth(redirect::isReady, redirect::voters, settings.voters());
+        return new Service.Compound(List.of(network, server, redirect, extension.create(settings, network, health)));
+    }
+
+    private static Service createReplica(ControlSettings settings, Extension extension) {
         ControlComponent component = DaggerControlComponent.factory().create(settings);
         FrameServer server = new FrameServer(component.network(), settings.listen(), component.server());
         ControlHealth health =
--- a/control/src/main/java/org/bamboohatch/control/ControlModule.java
+++ b/control/src/main/java/org/bamboohatch/control/ControlModule.java
@@ -18,7 +18,7 @@
 @Module
 final class ControlModule {
 
-    private static final int NETWORK_THREADS = 2;
+    static final int NETWORK_THREADS = 2;
 
     private ControlModule() {}
 
--- a/control/src/main/java/org/bamboohatch/control/ControlSettings.java
+++ b/control/src/main/java/org/bamboohatch/control/ControlSettings.java
@@ -14,7 +14,7 @@
  * @param listen address on which the process listens for the other processes, as IP:port
  * @param advertise address that the process advertises to the others, as IP:port; empty for the one it listens on
  * @param http address of the HTTP server for health and metrics, as IP:port; empty for none
- * @param dataFolder folder of the durable state
+ * @param dataFolder folder of the durable state; empty if the host has no disk, which makes the process redirect requests
  * @param peers addresses of the control processes that bootstrap the replication group, including this one
  * @param replaces host whose replica this one replaces; empty for the host of this process
  * @param mayFound whether the processes may bootstrap a group if all their data folders are empty
@@ -43,7 +43,9 @@
                 fallback = "\"\"")
         String http,
 
-        @Setting(description = "folder with the durable state")
+        @Setting(
+                description =
+                        "folder with the durable state; empty if the host has no disk, which makes the process redirect requests to the leader")
         String dataFolder,
 
         @Setting(
--- a/replication/src/main/java/org/bamboohatch/replication/driver/GroupBootstrap.java
+++ b/replication/src/main/java/org/bamboohatch/replication/driver/GroupBootstrap.java
@@ -1,14 +1,16 @@
 package org.bamboohatch.replication.driver;
 
-import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.bamboohatch.kernel.id.ReplicaId;
 import org.bamboohatch.replication.message.Member;
 import org.bamboohatch.replication.message.Membership;
+import org.bamboohatch.replication.message.ReplicaMessage.NoReplica;
 import org.bamboohatch.replication.message.ReplicaMessage.ProbeReply;
 import org.bamboohatch.replication.message.Snapshot;
 
@@ -34,6 +36,12 @@
     /** Replicas that are members of a group, by address. */
     private final Map<String, Member> formedReplicas = new HashMap<>();
 
+    /** Addresses of control processes without a disk, which cannot be members. */
+    private final Set<String> diskless = new HashSet<>();
+
+    /** Address of the leader that a control process without a disk has named latest, or an empty string. */
+    private String referral = "";
+
     /** Whether the replicas that have answered since the latest summary are members of a group. */
     private final Map<ReplicaId, Boolean> answers = new HashMap<>();
 
@@ -54,6 +62,7 @@
     void handleProbeReply(ProbeReply reply) {
         String address = reply.member().address();
         answers.put(reply.from(), reply.formed());
+        diskless.remove(address);
         if (reply.formed()) {
             emptyReplicas.remove(address);
             formedReplicas.put(address, reply.member());
@@ -63,6 +72,22 @@
         }
     }
 
+    void handleNoReplica(NoReplica reply) {
+        emptyReplicas.remove(reply.address());
+        formedReplicas.remove(reply.address());
+        diskless.add(reply.address());
+        referral = reply.leader();
+    }
+
+    /**
+     * Returns the address of the leader that a control process without a disk has named latest.
+     *
+     * @return the address, host and port, or empty if none was named
+     */
+    Optional<String> referral() {
+        return Optional.of(referral).filter(address -> !address.isEmpty());
+    }
+
     /**
      * Summarizes which replicas have answered since the previous summary. Voters that do not answer are down or cut off;
      * replicas with an empty data folder in their place show that disks were lost.
@@ -102,20 +127,22 @@
     }
 
     /**
-     * Returns the bootstrap snapshot if this replica must bootstrap the group. Only the peer with the lowest address
-     * does so, so that a single group is formed.
+     * Returns the bootstrap snapshot if this replica must bootstrap the group. Its members are the configured peers with a
+     * disk. Only the one with the lowest address does so, so that a single group is formed.
      *
-     * @return the snapshot, or empty unless every configured peer is known to be empty
+     * @return the snapshot, or empty unless every configured peer is known to be empty or to have no disk
      */
     Optional<Snapshot> bootstrapSnapshot() {
-        boolean allEmpty =
-                bootstrapAllowed && formedReplicas.isEmpty() && peers.stream().allMatch(emptyReplicas::containsKey);
-        boolean hasLowestAddress =
-                peers.stream().min(Comparator.naturalOrder()).orElseThrow().equals(self.address());
+        List<String> founders =
+                peers.stream().filter(peer -> !diskless.contains(peer)).sorted().toList();
+        boolean allEmpty = bootstrapAllowed
+                && formedReplicas.isEmpty()
+                && founders.stream().allMatch(emptyReplicas::containsKey);
+        boolean hasLowestAddress = !founders.isEmpty() && founders.get(0).equals(self.address());
         if (!allEmpty || !hasLowestAddress) {
             return Optional.empty();
         }
-        List<Member> voters = peers.stream().sorted().map(emptyReplicas::get).toList();
+        List<Member> voters = founders.stream().map(emptyReplicas::get).toList();
         return Optional.of(new Snapshot(BOOTSTRAP_INDEX, 0, new Membership(voters, List.of()), new byte[0]));
     }
 }
--- a/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaService.java
+++ b/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaService.java
@@ -34,6 +34,7 @@
 import org.bamboohatch.replication.message.ReplicaMessage.Envelope;
 import org.bamboohatch.replication.message.ReplicaMessage.Formation;
 import org.bamboohatch.replication.message.ReplicaMessage.JoinRequest;
+import org.bamboohatch.replication.message.ReplicaMessage.NoReplica;
 import org.bamboohatch.replication.message.ReplicaMessage.Probe;
 import org.bamboohatch.replication.message.ReplicaMessage.ProbeReply;
 import org.bamboohatch.replication.message.Snapshot;
@@ -377,6 +378,8 @@
             }
         } else if (message instanceof ProbeReply reply) {
             bootstrap.handleProbeReply(reply);
+        } else if (message instanceof NoReplica reply) {
+            bootstrap.handleNoReplica(reply);
         } else if (message instanceof Formation formation) {
             if (core.log().lastIndex() == 0 && formation.founding().membership().isVoter(self.replica())) {
                 installBootstrapSnapshot(formation.founding());
@@ -408,6 +411,7 @@
         Set<String> probed = new LinkedHashSet<>(settings.peers());
         core.membership().members().map(Member::address).forEach(probed::add);
         probed.addAll(addresses.senders());
+        bootstrap.referral().ifPresent(probed::add);
         for (String peer : probed) {
             if (!peer.equals(settings.address())) {
                 send(peer, new Probe(self.replica(), self));
--- a/replication/src/main/java/org/bamboohatch/replication/message/ReplicaMessage.java
+++ b/replication/src/main/java/org/bamboohatch/replication/message/ReplicaMessage.java
@@ -138,6 +138,16 @@
      */
     record ProbeReply(ReplicaId from, Member member, boolean formed) implements ReplicaMessage {}
 
+    /**
+     * Replies to a probe on behalf of a control process on a host without a disk, which holds no replica. Sent only where
+     * such hosts run control, since older replicas refuse unknown messages.
+     *
+     * @param from the identity of the process
+     * @param address the host and port of the process
+     * @param leader the host and port of the leader, or an empty string if the process does not know it
+     */
+    record NoReplica(ReplicaId from, String address, String leader) implements ReplicaMessage {}
+
     /**
      * Informs a replica with an empty data folder that it is an initial member of a new group.
      *
@@ -176,6 +186,7 @@
                     JoinRequest.class,
                     Probe.class,
                     ProbeReply.class,
+                    NoReplica.class,
                     Formation.class,
                     Envelope.class);
         }
