Let no lost learner take the place of a lost voter

A learner counted as caught up as long as nothing had been committed since it was lost. When a voter was lost as well, the leader promoted the lost learner: of then four voters two answered, three are needed, and the group had no leader until one returned. With six hosts and five voters, the two losses that are tolerated left no room for a slow host.

A learner is promoted only if it answers, and is removed after 10 s without an answer; it joins again.

--- a/replication/src/main/java/org/bamboohatch/replication/consensus/Leadership.java
+++ b/replication/src/main/java/org/bamboohatch/replication/consensus/Leadership.java
@@ -30,6 +30,9 @@
     /** Time without an acknowledgement after which a voter may be replaced by an up-to-date learner. */
     static final long UNRESPONSIVE_VOTER_TIMEOUT_MS = 2_500;
 
+    /** Time without an acknowledgement after which a learner is removed. It joins again when it returns. */
+    static final long LOST_LEARNER_TIMEOUT_MS = 10_000;
+
     /** Minimum time between two rounds of heartbeats that are triggered by reads. */
     private static final long MIN_CONFIRMATION_INTERVAL_MS = 8;
 
@@ -297,9 +300,9 @@
 
     /**
      * Advances the repair of the membership by at most one change; only one change is uncommitted at a time. A caught-up
-     * learner first causes the removal of the voter that it replaces. It is then promoted if there are fewer voters than
-     * desired, or exactly the desired number and one of them is unresponsive. If there are more voters than desired, an
-     * unresponsive one is removed.
+     * learner that answers first causes the removal of the voter that it replaces. It is then promoted if there are fewer
+     * voters than desired, or exactly the desired number and one of them is unresponsive. If there are more voters than
+     * desired, an unresponsive one is removed; otherwise a learner that was lost long ago is.
      *
      * @param now the current time in milliseconds
      */
@@ -309,7 +312,9 @@
         }
         for (Member learner : membership().learners()) {
             FollowerProgress progress = followers.get(learner.replica());
-            if (progress == null || progress.matchIndex() < replicaLog.commitIndex()) {
+            if (progress == null
+                    || progress.matchIndex() < replicaLog.commitIndex()
+                    || silenceMillis(learner, now) > timing.maximumElectionTimeoutMillis()) {
                 continue;
             }
             HostName replaced = replacements.getOrDefault(learner.replica(), learner.host());
@@ -329,7 +334,17 @@
         if (membership().voters().size() > desiredVoters) {
             longestUnresponsiveVoter(now)
                     .ifPresent(voter -> proposeMembership(membership().without(voter.replica()), now));
+            return;
         }
+        membership().learners().stream()
+                .filter(learner -> silenceMillis(learner, now) > LOST_LEARNER_TIMEOUT_MS)
+                .findFirst()
+                .ifPresent(learner -> proposeMembership(membership().without(learner.replica()), now));
+    }
+
+    /** Returns the time since the latest acknowledged message to a follower was sent, in milliseconds. */
+    private long silenceMillis(Member follower, long now) {
+        return now - followers.get(follower.replica()).lastAcknowledgedSend();
     }
 
     /**
@@ -341,10 +356,8 @@
     private Optional<Member> longestUnresponsiveVoter(long now) {
         return membership().voters().stream()
                 .filter(member -> !member.replica().equals(self))
-                .filter(member ->
-                        now - followers.get(member.replica()).lastAcknowledgedSend() > UNRESPONSIVE_VOTER_TIMEOUT_MS)
-                .min(Comparator.comparingLong(
-                        member -> followers.get(member.replica()).lastAcknowledgedSend()));
+                .filter(member -> silenceMillis(member, now) > UNRESPONSIVE_VOTER_TIMEOUT_MS)
+                .max(Comparator.comparingLong(member -> silenceMillis(member, now)));
     }
 
     boolean isLeadershipConfirmedSince(long since, long now) {
