Acknowledge a change once as many replicas hold it as the tolerance needs

A group with fewer voters than 2n + 1 commits with fewer than n + 1 copies, so that a change which was acknowledged could be lost with n disks: with three voters and a tolerance of two, two copies were enough. That was so during the growth of each new group too.

A proposal is now complete when a majority of the desired number of voters holds it, learners included; until then the caller is told that nothing is decided. The acknowledgement of a departure waits likewise. With enough voters nothing changes, as the commit takes as many copies.

--- a/control/src/main/java/org/bamboohatch/control/server/FleetRequests.java
+++ b/control/src/main/java/org/bamboohatch/control/server/FleetRequests.java
@@ -172,8 +172,10 @@
         if (!isRecorded(departure)) {
             replica.propose(() -> ControlStateMachine.encode(Command.recording(ledgerTime.getAsLong(), departure)));
         }
-        BooleanSupplier confirmed =
-                () -> isRecorded(departure) && isAppliedByGateways(term, version) && session.isConfirmedSince(now);
+        BooleanSupplier confirmed = () -> isRecorded(departure)
+                && session.isAppliedStateDurable()
+                && isAppliedByGateways(term, version)
+                && session.isConfirmedSince(now);
         session.holdForAcknowledgement(
                 DEPARTURE_ACKNOWLEDGEMENT_TIMEOUT_MS,
                 confirmed,
--- a/control/src/main/java/org/bamboohatch/control/server/LeaderSession.java
+++ b/control/src/main/java/org/bamboohatch/control/server/LeaderSession.java
@@ -152,6 +152,15 @@
         return leader != null && replica.core().isLeadershipConfirmedSince(since, ReplicaService.now());
     }
 
+    /**
+     * Indicates whether as many replicas hold the applied entries as the tolerance of the group needs.
+     *
+     * @return false as well if this process does not lead
+     */
+    boolean isAppliedStateDurable() {
+        return replica.core().isDurableAsDesired(replica.core().log().appliedIndex());
+    }
+
     /** Creates the state of a new term if this process now leads it, or drops the state if it leads no longer. */
     void refreshLeadership() {
         boolean leads = replica.core().role() == Role.LEADER;
--- a/replication/src/main/java/org/bamboohatch/replication/consensus/ConsensusCore.java
+++ b/replication/src/main/java/org/bamboohatch/replication/consensus/ConsensusCore.java
@@ -229,6 +229,17 @@
                 && leadership.isLeadershipConfirmedSince(since, now);
     }
 
+    /**
+     * Indicates whether a committed entry may be acknowledged: it is durable at a majority of the desired voters, also if
+     * the group has fewer voters.
+     *
+     * @param index the index of the entry
+     * @return {@code true} if this replica is the leader and enough replicas hold the entry
+     */
+    public boolean isDurableAsDesired(long index) {
+        return role == Role.LEADER && leadership.isDurableAsDesired(index);
+    }
+
     /**
      * Sends heartbeats to confirm leadership for pending reads, unless they were sent very recently. Ignored unless
      * this replica is the leader.
--- a/replication/src/main/java/org/bamboohatch/replication/consensus/Leadership.java
+++ b/replication/src/main/java/org/bamboohatch/replication/consensus/Leadership.java
@@ -360,6 +360,23 @@
                 .max(Comparator.comparingLong(member -> silenceMillis(member, now)));
     }
 
+    /**
+     * Indicates whether an entry is durable at a majority of the desired voters. A group that has fewer voters commits
+     * with fewer copies than its tolerance needs.
+     *
+     * @param index the index of the entry
+     * @return {@code true} if the entry outlives the loss of all disks that the desired number of voters tolerates
+     */
+    boolean isDurableAsDesired(long index) {
+        long copies = followers.values().stream()
+                .filter(progress -> progress.matchIndex() >= index)
+                .count();
+        if (ownMatchIndex >= index) {
+            copies++;
+        }
+        return copies > desiredVoters / 2;
+    }
+
     boolean isLeadershipConfirmedSince(long since, long now) {
         return replicaLog.commitIndex() >= termStartIndex && quorumAcknowledgedSend(now) > since;
     }
--- a/replication/src/main/java/org/bamboohatch/replication/driver/ProposalResult.java
+++ b/replication/src/main/java/org/bamboohatch/replication/driver/ProposalResult.java
@@ -4,7 +4,7 @@
 public sealed interface ProposalResult {
 
     /**
-     * The command was committed and applied.
+     * The command was committed and applied, and as many replicas hold it as the desired number of voters needs.
      *
      * @param result the result from the state machine
      */
--- a/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaService.java
+++ b/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaService.java
@@ -84,6 +84,9 @@
     /** Proposals whose entries are not applied yet, by log index. */
     private final TreeMap<Long, PendingProposal> pendingProposals = new TreeMap<>();
 
+    /** Results of applied proposals whose entries too few replicas hold, by log index. */
+    private final TreeMap<Long, AppliedProposal> underReplicated = new TreeMap<>();
+
     private final Thread thread;
 
     private volatile boolean running = true;
@@ -113,6 +116,14 @@
      */
     private record PendingProposal(long term, CompletableFuture<ProposalResult> outcome) {}
 
+    /**
+     * An applied proposal that is not acknowledged yet.
+     *
+     * @param outcome completed with the result once enough replicas hold the entry
+     * @param result the result from the state machine
+     */
+    private record AppliedProposal(CompletableFuture<ProposalResult> outcome, Object result) {}
+
     /**
      * Creates a replica that is not running yet.
      *
@@ -326,6 +337,7 @@
         }
         reportLeaderLoss(leaderLost, now());
         stepper.step(now(), this::send, this::completeProposal);
+        completeReplicatedProposals();
         failLostProposals();
     }
 
@@ -342,10 +354,33 @@
 
     private void completeProposal(LogEntry entry, Object result) {
         PendingProposal proposal = pendingProposals.remove(entry.index());
-        if (proposal != null) {
-            boolean sameTerm = proposal.term() == entry.term();
+        if (proposal == null) {
+            return;
+        }
+        if (proposal.term() != entry.term()) {
+            proposal.outcome().complete(new ProposalResult.OutcomeUnknown());
+        } else if (core.isDurableAsDesired(entry.index())) {
+            proposal.outcome().complete(new ProposalResult.Applied(result));
+        } else {
+            underReplicated.put(entry.index(), new AppliedProposal(proposal.outcome(), result));
+        }
+    }
+
+    /** Completes applied proposals that enough replicas hold by now, or all of them if leadership was lost. */
+    private void completeReplicatedProposals() {
+        while (!underReplicated.isEmpty()) {
+            Map.Entry<Long, AppliedProposal> first = underReplicated.firstEntry();
+            boolean leads = core.role() == Role.LEADER;
+            if (leads && !core.isDurableAsDesired(first.getKey())) {
+                return;
+            }
+            AppliedProposal proposal = first.getValue();
+            underReplicated.remove(first.getKey());
             proposal.outcome()
-                    .complete(sameTerm ? new ProposalResult.Applied(result) : new ProposalResult.OutcomeUnknown());
+                    .complete(
+                            leads
+                                    ? new ProposalResult.Applied(proposal.result())
+                                    : new ProposalResult.OutcomeUnknown());
         }
     }
 
--- a/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaSettings.java
+++ b/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaSettings.java
@@ -17,7 +17,7 @@
  * @param snapshotEntries the number of applied entries after which a snapshot is taken
  * @param bootstrapAllowed whether a new group may be bootstrapped when every peer is empty
  * @param desiredVoters the number of voters that a leader restores, or zero for the current number rounded up to an odd
- * one
+ * one; a proposal is acknowledged once a majority of that number holds it
  * @param timing election timeouts and heartbeat interval
  */
 public record ReplicaSettings(
