Find the leader from processes without a disk also if the settings name no replica

The leader introduces itself every second to processes that its settings name and that hold no replica. Those ask each other, and take the members that any replica names.

--- a/control/src/main/java/org/bamboohatch/control/ControlMain.java
+++ b/control/src/main/java/org/bamboohatch/control/ControlMain.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.function.Supplier;
 
+import org.bamboohatch.control.redirect.LeaderAnnouncer;
 import org.bamboohatch.control.redirect.LeaderRedirect;
 import org.bamboohatch.http.HealthHandler;
 import org.bamboohatch.http.HttpServerService;
@@ -67,7 +68,7 @@
     public static Service create(ControlSettings settings, Supplier<List<String>> seeds, Extension extension) {
         return settings.dataFolder().isEmpty()
                 ? createRedirect(settings, seeds, extension)
-                : createReplica(settings, extension);
+                : createReplica(settings, seeds, extension);
     }
 
     private static Service createRedirect(ControlSettings settings, Supplier<List<String>> seeds, Extension extension) {
@@ -79,15 +80,20 @@
         return new Service.Compound(List.of(network, server, redirect, extension.create(settings, network, health)));
     }
 
-    private static Service createReplica(ControlSettings settings, Extension extension) {
+    private static Service createReplica(ControlSettings settings, Supplier<List<String>> seeds, Extension extension) {
         ControlComponent component = DaggerControlComponent.factory().create(settings);
         FrameServer server = new FrameServer(component.network(), settings.listen(), component.server());
         ControlHealth health =
                 new ControlHealth(component.server()::isReady, component.server()::voters, settings.voters());
         Service additional = extension.create(settings, component.network(), health);
         // Services stop in reverse order: leadership is handed over while all others still answer.
-        return new Service.Compound(
-                List.of(component.network(), component.replica(), server, additional, component.server()));
+        return new Service.Compound(List.of(
+                component.network(),
+                component.replica(),
+                server,
+                new LeaderAnnouncer(component.network(), component.replica(), seeds),
+                additional,
+                component.server()));
     }
 
     /**
--- a/control/src/main/java/org/bamboohatch/control/redirect/LeaderRedirect.java
+++ b/control/src/main/java/org/bamboohatch/control/redirect/LeaderRedirect.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 
 import org.apache.logging.log4j.LogManager;
@@ -62,6 +63,9 @@
 
     private final AtomicBoolean running = new AtomicBoolean();
 
+    /** Address of the replica that has sent a probe latest, or an empty string. */
+    private final AtomicReference<String> introduced = new AtomicReference<>("");
+
     /** Addresses of the members of the group, as the latest leader named them. */
     private volatile List<String> members = List.of();
 
@@ -102,6 +106,7 @@
     @Override
     public void handle(Message request, Exchange exchange) {
         if (request instanceof Probe probe) {
+            introduced.set(probe.member().address());
             link(probe.member().address())
                     .connect()
                     .thenAccept(connection ->
@@ -129,15 +134,14 @@
         return voters;
     }
 
-    /** Asks the known processes in turn until one leads. The settings are read only while the leader is unknown. */
+    /** Asks the known processes, and those that they name, in turn until one leads. The settings are read only while the leader is unknown. */
     private void search() {
-        Set<String> candidates = new LinkedHashSet<>();
+        Set<String> candidates = new LinkedHashSet<>(List.of(leader, introduced.get()));
+        candidates.addAll(members);
         if (leader.isEmpty()) {
             candidates.addAll(seeds.get());
-        } else {
-            candidates.add(leader);
         }
-        candidates.addAll(members);
+        candidates.remove("");
         candidates.remove(settings.advertisedAddress());
         ask(new ArrayList<>(candidates), 0);
     }
@@ -158,12 +162,24 @@
                 voters = status.voters().size();
                 leader = address;
                 network.after(REFRESH_INTERVAL, this::search);
-            } else {
-                ask(candidates, position + 1);
+                return;
             }
+            namedBy(reply).stream().filter(named -> !candidates.contains(named)).forEach(candidates::add);
+            ask(candidates, position + 1);
         });
     }
 
+    /** Returns the processes that a process which does not lead names: the members it knows, or the leader. */
+    private static List<String> namedBy(Message reply) {
+        if (reply instanceof ControlReply.Status status) {
+            return addresses(status);
+        }
+        return reply instanceof ControlReply.NotLeader other
+                        && !other.leaderAddress().isEmpty()
+                ? List.of(other.leaderAddress())
+                : List.of();
+    }
+
     /** Returns the addresses of the members, which a status names as host@address. */
     private static List<String> addresses(ControlReply.Status status) {
         List<String> members = new ArrayList<>(status.voters());
--- a/control/src/test/java/org/bamboohatch/control/redirect/LeaderRedirectTest.java
+++ b/control/src/test/java/org/bamboohatch/control/redirect/LeaderRedirectTest.java
@@ -29,14 +29,17 @@
 
 /**
  * Guards against control processes that end at each start on hosts without a disk, and against a group that is never
- * bootstrapped because such a host is among its configured peers.
+ * bootstrapped, or not found after a restart, because the settings name such hosts.
  */
 @Timeout(120)
 class LeaderRedirectTest {
 
-    private static final int PROCESSES = 4;
+    /** Prefix of addresses that no other test listens on, so that a port is not taken after it was found free. */
+    private static final String ADDRESS_PREFIX = "127.0.72.1";
 
-    private static final int DISKLESS = 0;
+    private static final int PROCESSES = 5;
+
+    private static final int VOTERS = 3;
 
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(60);
 
@@ -53,9 +56,9 @@
     void chooseAddresses() throws IOException {
         List<ServerSocket> free = new ArrayList<>();
         for (int number = 0; number < PROCESSES; number++) {
-            ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+            ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(ADDRESS_PREFIX + number));
             free.add(socket);
-            addresses.add("127.0.0.1:" + socket.getLocalPort());
+            addresses.add(ADDRESS_PREFIX + number + ":" + socket.getLocalPort());
         }
         for (ServerSocket socket : free) {
             socket.close();
@@ -68,23 +71,31 @@
         network.stop();
     }
 
-    private void start(int number, List<String> peers) {
+    private void startReplica(int number, List<String> peers, List<String> seeds) {
+        start(number, folder.resolve("data-" + number).toString(), peers, seeds);
+    }
+
+    private void startWithoutDisk(int number, List<String> seeds) {
+        start(number, "", seeds, seeds);
+    }
+
+    private void start(int number, String dataFolder, List<String> peers, List<String> seeds) {
         ControlSettings settings = new ControlSettings(
                 new HostName("control-" + number),
                 new ZoneName("zone-a"),
                 addresses.get(number),
                 "",
                 "",
-                number == DISKLESS ? "" : folder.resolve("data-" + number).toString(),
+                dataFolder,
                 peers,
                 "",
                 true,
-                3,
+                VOTERS,
                 10,
                 1,
                 List.of());
         Service process = ControlMain.create(
-                settings, settings::peers, (effective, processNetwork, health) -> new Service.Compound(List.of()));
+                settings, () -> seeds, (effective, processNetwork, health) -> new Service.Compound(List.of()));
         process.start();
         started.add(process);
     }
@@ -99,23 +110,38 @@
     void aProcessWithoutADiskLeadsItsClientsToTheLeader() throws Exception {
         List<String> replicas = addresses.subList(1, PROCESSES);
         for (int number = 1; number < PROCESSES; number++) {
-            start(number, replicas);
+            startReplica(number, replicas, replicas);
         }
-        start(DISKLESS, List.of(addresses.get(1)));
-        assertThat(callVia(DISKLESS)).isInstanceOf(ControlReply.Fleet.class);
+        startWithoutDisk(0, List.of(addresses.get(1)));
+        assertThat(callVia(0)).isInstanceOf(ControlReply.Fleet.class);
     }
 
     @Test
     void aGroupIsBootstrappedByThePeersThatHaveADiskAndTheOthersJoinIt() throws Exception {
         List<String> peers = addresses.subList(0, 3);
-        for (int number = 0; number < PROCESSES; number++) {
-            start(number, peers);
+        startWithoutDisk(0, peers);
+        for (int number = 1; number < PROCESSES; number++) {
+            startReplica(number, peers, peers);
         }
         assertThat(callVia(1)).isInstanceOf(ControlReply.Fleet.class);
-        while (voters().size() < 3) {
+        while (voters().size() < VOTERS) {
             Thread.sleep(20);
         }
-        assertThat(voters()).noneMatch(voter -> voter.endsWith(addresses.get(DISKLESS)));
+        assertThat(voters()).noneMatch(voter -> voter.endsWith(addresses.get(0)));
+    }
+
+    /** The settings of the replicas name one process without a disk, which is the only one that another such process knows. */
+    @Test
+    void aLeaderIsFoundThoughTheSettingsNameProcessesWithoutADiskOnly() throws Exception {
+        List<String> replicas = addresses.subList(2, PROCESSES);
+        List<String> seeds = List.of(addresses.get(0));
+        for (int number = 2; number < PROCESSES; number++) {
+            startReplica(number, replicas, seeds);
+        }
+        startWithoutDisk(0, seeds);
+        startWithoutDisk(1, seeds);
+        assertThat(callVia(0)).isInstanceOf(ControlReply.Fleet.class);
+        assertThat(callVia(1)).isInstanceOf(ControlReply.Fleet.class);
     }
 
     private List<String> voters() throws Exception {
--- a/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaService.java
+++ b/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaService.java
@@ -294,6 +294,22 @@
         return self;
     }
 
+    /**
+     * Tells processes outside the group where this replica is, if it leads. Processes without a replica cannot find the
+     * group by themselves. Must be invoked on the replica thread.
+     *
+     * @param processes addresses of the processes, host and port; members of the group are skipped
+     */
+    public void introduceLeader(List<String> processes) {
+        if (core.role() != Role.LEADER) {
+            return;
+        }
+        List<String> members = core.membership().members().map(Member::address).toList();
+        processes.stream()
+                .filter(address -> !members.contains(address))
+                .forEach(address -> send(address, new Probe(self.replica(), self)));
+    }
+
     /**
      * Returns the address of the current leader. Must be invoked on the replica thread.
      *
