--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/GatewayHarness.java
@@ -70,6 +70,9 @@
     private static final EngineCostModel ENGINE =
             new EngineCostModel(11, 315_000, 51, 0.85, 0.006, 0.00285, 177_000, 0.184, 2_048, 200, 0.05, 11_000, 1_600);
 
+    /** Limits of callers in the configuration that is applied next. */
+    volatile CallerLimits limits = LIMITS;
+
     final Forwarder forwarder;
 
     final CallerServer callers;
@@ -145,7 +148,7 @@
         forwarder = new Forwarder(settings, Dialect.DEFAULT, loop, this, state, buffers, new GatewayMetrics(registry));
         exchange = new LoadExchange(settings, state, loop);
         exchange.start();
-        callers = new CallerServer(new InetSocketAddress("127.0.0.1", port), loop, forwarder, () -> LIMITS, buffers);
+        callers = new CallerServer(new InetSocketAddress("127.0.0.1", port), loop, forwarder, () -> limits, buffers);
         callers.start();
         if (targets.length > 0) {
             apply(targets);
@@ -222,7 +225,7 @@
                 List.of(
                         new FleetService(SERVICE, "/healthz", 10, Optional.empty(), 0, coldPerSecond),
                         new FleetService(ENGINES, "/healthz", 10, Optional.of(ENGINE))),
-                LIMITS,
+                limits,
                 Optional.of(List.of(new FleetAccount(new AccountName("oaxaca"), List.of("key-1"), 1))));
     }
 
--- a/gateway/src/test/java/org/bamboohatch/gateway/forward/ResponseFramingTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/forward/ResponseFramingTest.java
@@ -91,6 +91,8 @@
                 "HTTP/1.1 200 OK\r\nOther\r\nContent-Length: 4\r\n",
                 "HTTP/1.1 200 OK\r\nOth er: x\r\nContent-Length: 4\r\n",
                 "HTTP/1.1 200 OK\r\n: x\r\nContent-Length: 4\r\n",
+                "HTTP/1.1 000 Trouble\r\nContent-Length: 4\r\n",
+                "HTTP/1.1 000 Trouble\r\n",
                 "HTTP/1.1 0200 OK\r\nContent-Length: 4\r\n",
                 "HTTP/1.1 2000 OK\r\nContent-Length: 4\r\n",
                 "HTTP/1.1 20 OK\r\nContent-Length: 4\r\n",
