Bound the size of the log in bytes, not only its number of entries

With configurations of 4 MB, some 400 kB compressed, that is 80 MB in a heap of 72 MB and on a disk of 64 MB: the process runs out of memory, and a disk that its own log has filled refuses changes for good.

--- a/replication/src/main/java/org/bamboohatch/replication/consensus/MemoryLog.java
+++ b/replication/src/main/java/org/bamboohatch/replication/consensus/MemoryLog.java
@@ -15,6 +15,9 @@
     /** Entries after {@link #offset}. */
     private final List<LogEntry> entries = new ArrayList<>();
 
+    /** Size of the data of the retained entries, in bytes. */
+    private long dataBytes;
+
     /** Index of the entry before the first retained one. */
     private long offset;
 
@@ -106,23 +109,49 @@
                 entry.index() == lastIndex() + 1,
                 () -> "entry " + entry.index() + " does not follow the last entry " + lastIndex());
         entries.add(entry);
+        dataBytes += entry.data().length;
+    }
+
+    /**
+     * Returns the size of the data of the retained entries.
+     *
+     * @return the size in bytes
+     */
+    long dataBytes() {
+        return dataBytes;
+    }
+
+    /** Removes entries, given by their positions in the list. */
+    private void remove(int from, int to) {
+        List<LogEntry> removed = entries.subList(from, to);
+        dataBytes -= removed.stream().mapToLong(entry -> entry.data().length).sum();
+        removed.clear();
     }
 
     void truncate(long from) {
-        entries.subList((int) (from - offset - 1), entries.size()).clear();
+        remove((int) (from - offset - 1), entries.size());
     }
 
     /**
      * Records a snapshot and removes the entries before it, except for some that slow followers may still need.
      *
      * @param newSnapshot the snapshot of the applied entries
-     * @param retainedEntries the number of entries to retain up to the snapshot's index
+     * @param retainedEntries the maximum number of entries to retain up to the snapshot's index
+     * @param retainedBytes the maximum size of the data of these entries, in bytes
      */
-    void compact(Snapshot newSnapshot, int retainedEntries) {
+    void compact(Snapshot newSnapshot, int retainedEntries, long retainedBytes) {
         snapshot = newSnapshot;
-        long newOffset = Math.max(offset, newSnapshot.index() - retainedEntries);
+        long newOffset = newSnapshot.index();
+        long bytes = 0;
+        while (newOffset > Math.max(offset, newSnapshot.index() - retainedEntries)) {
+            bytes += entry(newOffset).data().length;
+            if (bytes > retainedBytes) {
+                break;
+            }
+            newOffset--;
+        }
         long newTerm = term(newOffset);
-        entries.subList(0, (int) (newOffset - offset)).clear();
+        remove(0, (int) (newOffset - offset));
         offset = newOffset;
         offsetTerm = newTerm;
     }
@@ -135,6 +164,7 @@
     void reset(Snapshot newSnapshot) {
         snapshot = newSnapshot;
         entries.clear();
+        dataBytes = 0;
         offset = newSnapshot.index();
         offsetTerm = newSnapshot.term();
     }
--- a/replication/src/main/java/org/bamboohatch/replication/consensus/ReplicaLog.java
+++ b/replication/src/main/java/org/bamboohatch/replication/consensus/ReplicaLog.java
@@ -56,6 +56,15 @@
         return log.lastIndex();
     }
 
+    /**
+     * Returns the size of the data of the entries that are retained in memory.
+     *
+     * @return the size in bytes
+     */
+    public long dataBytes() {
+        return log.dataBytes();
+    }
+
     /**
      * Returns the latest snapshot.
      *
@@ -197,13 +206,14 @@
      * Replaces the applied part of the log with a snapshot.
      *
      * @param state the encoded state of the state machine after the last applied entry
-     * @param retainedEntries the number of entries to retain for slow followers
+     * @param retainedEntries the maximum number of entries to retain for slow followers
+     * @param retainedBytes the maximum size of the data of these entries, in bytes
      * @return the snapshot to make durable
      */
-    public Snapshot compact(byte[] state, int retainedEntries) {
+    public Snapshot compact(byte[] state, int retainedEntries, long retainedBytes) {
         Snapshot snapshot =
                 new Snapshot(appliedIndex, log.term(appliedIndex), memberships.membershipAt(appliedIndex), state);
-        log.compact(snapshot, retainedEntries);
+        log.compact(snapshot, retainedEntries, retainedBytes);
         return snapshot;
     }
 
--- a/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaStepper.java
+++ b/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaStepper.java
@@ -27,6 +27,12 @@
 
     private static final long DISK_FULL_RETRY_INTERVAL_MS = 100;
 
+    /**
+     * Size of the data of the log at which a snapshot is taken, in bytes. A log of large configurations would otherwise
+     * fill memory and disk before it has as many entries as a snapshot takes.
+     */
+    static final long MAX_LOG_BYTES = 8L * 1024 * 1024;
+
     private final ConsensusCore core;
 
     private final LogStore store;
@@ -153,7 +159,8 @@
     }
 
     /**
-     * Applies committed entries and takes a snapshot when enough entries were applied since the previous one.
+     * Applies committed entries and takes a snapshot when enough entries were applied since the previous one, or when the
+     * log is large.
      *
      * @param listener invoked for each applied entry
      * @return {@code true} if any entry was applied
@@ -170,8 +177,11 @@
             Object result = command ? stateMachine.apply(entry.index(), entry.data()) : null;
             listener.onApplied(entry, result);
         }
-        if (core.log().appliedIndex() - core.log().snapshot().index() >= snapshotEntries) {
-            Snapshot snapshot = core.log().compact(stateMachine.snapshot(), snapshotEntries / 2);
+        long appliedSinceSnapshot =
+                core.log().appliedIndex() - core.log().snapshot().index();
+        boolean large = appliedSinceSnapshot > 0 && core.log().dataBytes() >= MAX_LOG_BYTES;
+        if (large || appliedSinceSnapshot >= snapshotEntries) {
+            Snapshot snapshot = core.log().compact(stateMachine.snapshot(), snapshotEntries / 2, MAX_LOG_BYTES / 2);
             try {
                 store.compact(snapshot, core.log().firstIndex(), core.log().lastIndex() + 1);
             } catch (DiskFullException full) {
