--- a/http/src/main/java/org/bamboohatch/http/BodyReader.java
+++ b/http/src/main/java/org/bamboohatch/http/BodyReader.java
@@ -17,13 +17,15 @@
     private final long maximumBytes;
 
     /** The part of the body that has been read so far. */
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream body;
 
     private final CompletableFuture<Result<byte[], Refusal>> result = new CompletableFuture<>();
 
     private BodyReader(Request request, long maximumBytes) {
         this.request = request;
         this.maximumBytes = maximumBytes;
+        // A buffer that grows takes up several times the size of a large body.
+        this.body = new ByteArrayOutputStream((int) Math.max(0, Math.min(request.getLength(), maximumBytes)));
     }
 
     /**
