--- a/control/src/main/java/org/bamboohatch/control/redirect/LeaderAnnouncer.java
+++ b/control/src/main/java/org/bamboohatch/control/redirect/LeaderAnnouncer.java
@@ -29,7 +29,7 @@
     private volatile boolean leads;
 
     /**
-     * Creates an announcer.
+     * Creates an announcer that announces nothing before its start.
      *
      * @param network network threads of the control process
      * @param replica replica of the control process
--- a/control/src/main/java/org/bamboohatch/control/redirect/LeaderRedirect.java
+++ b/control/src/main/java/org/bamboohatch/control/redirect/LeaderRedirect.java
@@ -169,7 +169,12 @@
         });
     }
 
-    /** Returns the processes that a process which does not lead names: the members it knows, or the leader. */
+    /**
+     * Returns the processes that a process which does not lead names: the members it knows, or the leader.
+     *
+     * @param reply the reply of the process, null if there is none
+     * @return addresses, host and port
+     */
     private static List<String> namedBy(Message reply) {
         if (reply instanceof ControlReply.Status status) {
             return addresses(status);
@@ -180,7 +185,12 @@
                 : List.of();
     }
 
-    /** Returns the addresses of the members, which a status names as host@address. */
+    /**
+     * Returns the addresses of the members, which a status names as host@address.
+     *
+     * @param status the status of a replica
+     * @return addresses, host and port
+     */
     private static List<String> addresses(ControlReply.Status status) {
         List<String> members = new ArrayList<>(status.voters());
         members.addAll(status.learners());
--- a/control/src/main/java/org/bamboohatch/control/server/VoterShortage.java
+++ b/control/src/main/java/org/bamboohatch/control/server/VoterShortage.java
@@ -21,7 +21,7 @@
     private boolean reported;
 
     /**
-     * Creates a check.
+     * Creates a check that has seen no shortage.
      *
      * @param desired voters that the tolerance needs, zero if it is not configured
      */
--- a/replication/src/main/java/org/bamboohatch/replication/consensus/Leadership.java
+++ b/replication/src/main/java/org/bamboohatch/replication/consensus/Leadership.java
@@ -342,7 +342,13 @@
                 .ifPresent(learner -> proposeMembership(membership().without(learner.replica()), now));
     }
 
-    /** Returns the time since the latest acknowledged message to a follower was sent, in milliseconds. */
+    /**
+     * Returns the time since the latest acknowledged message to a follower was sent.
+     *
+     * @param follower the voter or learner
+     * @param now the current time in milliseconds
+     * @return the time in milliseconds
+     */
     private long silenceMillis(Member follower, long now) {
         return now - followers.get(follower.replica()).lastAcknowledgedSend();
     }
--- a/replication/src/main/java/org/bamboohatch/replication/consensus/MemoryLog.java
+++ b/replication/src/main/java/org/bamboohatch/replication/consensus/MemoryLog.java
@@ -121,15 +121,14 @@
         return dataBytes;
     }
 
-    /** Removes entries, given by their positions in the list. */
-    private void remove(int from, int to) {
+    private void removeRange(int from, int to) {
         List<LogEntry> removed = entries.subList(from, to);
         dataBytes -= removed.stream().mapToLong(entry -> entry.data().length).sum();
         removed.clear();
     }
 
     void truncate(long from) {
-        remove((int) (from - offset - 1), entries.size());
+        removeRange((int) (from - offset - 1), entries.size());
     }
 
     /**
@@ -151,7 +150,7 @@
             newOffset--;
         }
         long newTerm = term(newOffset);
-        remove(0, (int) (newOffset - offset));
+        removeRange(0, (int) (newOffset - offset));
         offset = newOffset;
         offsetTerm = newTerm;
     }
--- a/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaService.java
+++ b/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaService.java
@@ -3,13 +3,11 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -28,7 +26,6 @@
 import org.bamboohatch.replication.consensus.ConsensusCore;
 import org.bamboohatch.replication.consensus.OutgoingMessage;
 import org.bamboohatch.replication.consensus.Role;
-import org.bamboohatch.replication.message.LogEntry;
 import org.bamboohatch.replication.message.Member;
 import org.bamboohatch.replication.message.ReplicaMessage;
 import org.bamboohatch.replication.message.ReplicaMessage.Envelope;
@@ -81,11 +78,7 @@
     /** Links to other replicas, by address. */
     private final Map<String, Link> links = new HashMap<>();
 
-    /** Proposals whose entries are not applied yet, by log index. */
-    private final TreeMap<Long, PendingProposal> pendingProposals = new TreeMap<>();
-
-    /** Results of applied proposals whose entries too few replicas hold, by log index. */
-    private final TreeMap<Long, AppliedProposal> underReplicated = new TreeMap<>();
+    private final PendingProposals proposals = new PendingProposals();
 
     private final Thread thread;
 
@@ -108,22 +101,6 @@
     /** Time of the next log line about the missing leader, or zero while there is a leader. */
     private long nextLeaderLossReport;
 
-    /**
-     * A proposal whose entry is not applied yet.
-     *
-     * @param term the term in which it was proposed
-     * @param outcome completed with the result of the proposal
-     */
-    private record PendingProposal(long term, CompletableFuture<ProposalResult> outcome) {}
-
-    /**
-     * An applied proposal that is not acknowledged yet.
-     *
-     * @param outcome completed with the result once enough replicas hold the entry
-     * @param result the result from the state machine
-     */
-    private record AppliedProposal(CompletableFuture<ProposalResult> outcome, Object result) {}
-
     /**
      * Creates a replica that is not running yet.
      *
@@ -270,7 +247,7 @@
             if (index.isEmpty()) {
                 outcome.complete(new ProposalResult.NotLeader());
             } else {
-                pendingProposals.put(index.getAsLong(), new PendingProposal(core.term(), outcome));
+                proposals.add(index.getAsLong(), core.term(), outcome);
             }
         });
         return outcome;
@@ -352,9 +329,8 @@
             attemptBootstrap();
         }
         reportLeaderLoss(leaderLost, now());
-        stepper.step(now(), this::send, this::completeProposal);
-        completeReplicatedProposals();
-        failLostProposals();
+        stepper.step(now(), this::send, (entry, result) -> proposals.onApplied(entry, result, core));
+        proposals.settle(core);
     }
 
     private void reportLeaderLoss(boolean leaderLost, long now) {
@@ -368,54 +344,6 @@
         }
     }
 
-    private void completeProposal(LogEntry entry, Object result) {
-        PendingProposal proposal = pendingProposals.remove(entry.index());
-        if (proposal == null) {
-            return;
-        }
-        if (proposal.term() != entry.term()) {
-            proposal.outcome().complete(new ProposalResult.OutcomeUnknown());
-        } else if (core.isDurableAsDesired(entry.index())) {
-            proposal.outcome().complete(new ProposalResult.Applied(result));
-        } else {
-            underReplicated.put(entry.index(), new AppliedProposal(proposal.outcome(), result));
-        }
-    }
-
-    /** Completes applied proposals that enough replicas hold by now, or all of them if leadership was lost. */
-    private void completeReplicatedProposals() {
-        while (!underReplicated.isEmpty()) {
-            Map.Entry<Long, AppliedProposal> first = underReplicated.firstEntry();
-            boolean leads = core.role() == Role.LEADER;
-            if (leads && !core.isDurableAsDesired(first.getKey())) {
-                return;
-            }
-            AppliedProposal proposal = first.getValue();
-            underReplicated.remove(first.getKey());
-            proposal.outcome()
-                    .complete(
-                            leads
-                                    ? new ProposalResult.Applied(proposal.result())
-                                    : new ProposalResult.OutcomeUnknown());
-        }
-    }
-
-    /** Completes proposals whose entries may be lost because leadership was lost or the term has changed. */
-    private void failLostProposals() {
-        if (core.role() == Role.LEADER
-                && (pendingProposals.isEmpty()
-                        || pendingProposals.firstEntry().getValue().term() == core.term())) {
-            return;
-        }
-        for (Iterator<PendingProposal> proposals = pendingProposals.values().iterator(); proposals.hasNext(); ) {
-            PendingProposal proposal = proposals.next();
-            if (core.role() != Role.LEADER || proposal.term() != core.term()) {
-                proposals.remove();
-                proposal.outcome().complete(new ProposalResult.OutcomeUnknown());
-            }
-        }
-    }
-
     private void handleMessage(ReplicaMessage message) {
         if (message instanceof Probe probe) {
             boolean formed = core.log().lastIndex() > 0;
