--- a/gateway/src/test/java/org/bamboohatch/gateway/load/LoadExchangeTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/load/LoadExchangeTest.java
@@ -44,14 +44,14 @@
 
     private final EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
 
-    private final Gateway first = new Gateway("gateway-1", "zone-a");
+    private final Gateway first = new Gateway("gateway-1", "zone-a", loopback(73));
 
-    private final Gateway second = new Gateway("gateway-2", "zone-b");
+    private final Gateway second = new Gateway("gateway-2", "zone-b", loopback(74));
 
     /** The parts of a gateway that take part in the exchange. */
     private final class Gateway {
 
-        private final String address = freeAddress();
+        private final String address;
 
         private final LoadTracker loadTracker;
 
@@ -67,7 +67,8 @@
 
         private final LoadExchange exchange;
 
-        Gateway(String host, String zone) {
+        Gateway(String host, String zone, String ip) {
+            address = freeAddress(ip);
             GatewaySettings settings = new GatewaySettings(
                     new HostName(host),
                     new ZoneName(zone),
@@ -93,14 +94,22 @@
             exchange = new LoadExchange(settings, state, loop);
         }
 
-        private int port() {
-            return Integer.parseInt(address.substring(address.indexOf(':') + 1));
+        private DatagramPacket packet(byte[] bytes) throws java.io.IOException {
+            int colon = address.indexOf(':');
+            InetAddress ip = InetAddress.getByName(address.substring(0, colon));
+            return new DatagramPacket(bytes, bytes.length, ip, Integer.parseInt(address.substring(colon + 1)));
         }
     }
 
-    private static String freeAddress() {
-        try (DatagramSocket free = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
-            return "127.0.0.1:" + free.getLocalPort();
+    /** Returns an address that no other process uses, so that no other socket takes a port after it was found free. */
+    private static String loopback(int network) {
+        long process = ProcessHandle.current().pid();
+        return "127." + network + "." + process / 250 % 250 + "." + (process % 250 + 1);
+    }
+
+    private static String freeAddress(String ip) {
+        try (DatagramSocket free = new DatagramSocket(0, InetAddress.getByName(ip))) {
+            return ip + ":" + free.getLocalPort();
         } catch (java.io.IOException failed) {
             throw new java.io.UncheckedIOException(failed);
         }
@@ -262,9 +271,8 @@
         start();
         try (DatagramSocket stranger = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
             byte[] bytes = "no report".getBytes(StandardCharsets.UTF_8);
-            int port = Integer.parseInt(second.address.substring(second.address.indexOf(':') + 1));
-            stranger.send(new DatagramPacket(bytes, bytes.length, InetAddress.getByName("127.0.0.1"), port));
-            stranger.send(new DatagramPacket(new byte[0], 0, InetAddress.getByName("127.0.0.1"), port));
+            stranger.send(second.packet(bytes));
+            stranger.send(second.packet(new byte[0]));
         }
         onLoop(() -> first.loadTracker.add(ENGINE, 5_000, 6_000, true, true, 30, GatewayClock.now()));
         awaitOnLoop(() -> runsKnownTo(second) == 1);
@@ -295,7 +303,7 @@
             byte[] bytes = MessageCodec.instance().encode(report);
             int known = onLoop(() -> {
                 second.exchange.apply(List.of(second.address, "127.0.0.1:" + peer.getLocalPort()));
-                peer.send(new DatagramPacket(bytes, bytes.length, InetAddress.getByName("127.0.0.1"), second.port()));
+                peer.send(second.packet(bytes));
                 second.loadTracker.trigger().applyArrivedReports();
                 return runsKnownTo(second);
             });
@@ -318,8 +326,7 @@
             int known = onLoop(() -> {
                 second.exchange.apply(List.of(second.address, "127.0.0.1:" + peer.getLocalPort()));
                 for (byte[] bytes : List.of(unusable, usable)) {
-                    peer.send(
-                            new DatagramPacket(bytes, bytes.length, InetAddress.getByName("127.0.0.1"), second.port()));
+                    peer.send(second.packet(bytes));
                 }
                 second.loadTracker.trigger().applyArrivedReports();
                 return runsKnownTo(second);
@@ -377,7 +384,7 @@
                         List.of(),
                         null);
                 byte[] bytes = MessageCodec.instance().encode(repeated);
-                peer.send(new DatagramPacket(bytes, bytes.length, InetAddress.getByName("127.0.0.1"), second.port()));
+                peer.send(second.packet(bytes));
                 assertThat(second.limits.recordNoLimit(engine, begin, begin)).isTrue();
                 Thread.sleep(100);
                 second.loadTracker.trigger().applyArrivedReports();
