Take no more memory for a request body than has arrived

Since the buffer of a body was allocated by its declared length, so that a caller could make a process allocate memory without sending anything.

--- a/control/src/main/java/org/bamboohatch/control/redirect/LeaderRedirect.java
+++ b/control/src/main/java/org/bamboohatch/control/redirect/LeaderRedirect.java
@@ -134,7 +134,10 @@
         return voters;
     }
 
-    /** Asks the known processes, and those that they name, in turn until one leads. The settings are read only while the leader is unknown. */
+    /**
+     * Asks the known processes, and those that they name, in turn until one leads. The settings are read only while the
+     * leader is unknown.
+     */
     private void search() {
         Set<String> candidates = new LinkedHashSet<>(List.of(leader, introduced.get()));
         candidates.addAll(members);
--- a/http/src/main/java/org/bamboohatch/http/BodyReader.java
+++ b/http/src/main/java/org/bamboohatch/http/BodyReader.java
@@ -1,6 +1,8 @@
 package org.bamboohatch.http;
 
-import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
 import org.bamboohatch.kernel.outcome.ErrorCode;
@@ -17,15 +19,16 @@
     private final long maximumBytes;
 
     /** The part of the body that has been read so far. */
-    private final ByteArrayOutputStream body;
+    /** The parts of the body that have arrived. A buffer that grows would take up several times the size of a large body. */
+    private final List<byte[]> parts = new ArrayList<>();
+
+    private long receivedBytes;
 
     private final CompletableFuture<Result<byte[], Refusal>> result = new CompletableFuture<>();
 
     private BodyReader(Request request, long maximumBytes) {
         this.request = request;
         this.maximumBytes = maximumBytes;
-        // A buffer that grows takes up several times the size of a large body.
-        this.body = new ByteArrayOutputStream((int) Math.max(0, Math.min(request.getLength(), maximumBytes)));
     }
 
     /**
@@ -61,12 +64,12 @@
             append(chunk);
             boolean last = chunk.isLast();
             chunk.release();
-            if (body.size() > maximumBytes) {
+            if (receivedBytes > maximumBytes) {
                 refuseOversized();
                 return;
             }
             if (last) {
-                result.complete(Result.success(body.toByteArray()));
+                result.complete(Result.success(joinParts()));
                 return;
             }
         }
@@ -75,7 +78,15 @@
     private void append(Content.Chunk chunk) {
         byte[] bytes = new byte[chunk.remaining()];
         chunk.getByteBuffer().get(bytes);
-        body.writeBytes(bytes);
+        parts.add(bytes);
+        receivedBytes += bytes.length;
+    }
+
+    private byte[] joinParts() {
+        ByteBuffer body = ByteBuffer.allocate((int) receivedBytes);
+        parts.forEach(body::put);
+        parts.clear();
+        return body.array();
     }
 
     private void refuseOversized() {
