--- a/review/standin-3/Deployment.java
+++ b/review/standin-3/Deployment.java
@@ -85,6 +85,14 @@
         }
     }
 
+    /** Replaces the machines whose addresses the settings name as seeds. */
+    void seeds(int first, int second, int third) {
+        seeds.clear();
+        for (int machine : new int[] {first, second, third}) {
+            seeds.add(address(machine) + ":" + control);
+        }
+    }
+
     /** Returns the address of a machine, also of one on which a stand-in runs. */
     String address(int machine) {
         return prefix + machine;
