Give the vote of a replaced replica to its successor before it is needed

What callers saw: three hosts run control, one of them is replaced as planned, and four seconds after the start of its successor another one loses its disk. Control decides nothing any more, for good; each read of the configuration gets 503.

Cause: the leader gave the seat of a voter to a ready learner only after 2.5 s of silence. A process that gets SIGTERM handed over its leadership but not its vote, and a successor that had caught up waited. With the next loss one of three voters was left.

Change: a learner that was admitted to the zone of a voter takes over its vote once it has caught up, so it does not matter when the other one goes. A stopped voter gives its vote to a ready learner before it ends. A voter that loses its vote becomes a learner rather than leaving the membership, so a restart costs no seat. Decisions are in MembershipRepair. Changes of the membership are logged.

LostLearnerTest places its learner in a zone of its own, because in the zone of a voter it would now take over its vote; its assertions are the same. In SimulatedCluster replicas are compared by identity, as the leader adds the index of the admission to a member.

--- a/control/src/main/java/org/bamboohatch/control/ControlModule.java
+++ b/control/src/main/java/org/bamboohatch/control/ControlModule.java
@@ -41,6 +41,7 @@
         HostName replaces = settings.replaces().isEmpty() ? settings.host() : new HostName(settings.replaces());
         ReplicaSettings replica = new ReplicaSettings(
                 settings.host(),
+                settings.zone(),
                 settings.advertisedAddress(),
                 Path.of(settings.dataFolder()),
                 settings.peers(),
--- a/control/src/test/java/org/bamboohatch/control/server/EvacuationRequestsTest.java
+++ b/control/src/test/java/org/bamboohatch/control/server/EvacuationRequestsTest.java
@@ -97,7 +97,16 @@
         ControlStateMachine stateMachine = new ControlStateMachine();
         replica = new ReplicaService(
                 new ReplicaSettings(
-                        host, address, folder, List.of(address), host, 10_000, true, 1, ConsensusTiming.DEFAULT),
+                        host,
+                        new ZoneName("zone-a"),
+                        address,
+                        folder,
+                        List.of(address),
+                        host,
+                        10_000,
+                        true,
+                        1,
+                        ConsensusTiming.DEFAULT),
                 stateMachine,
                 network);
         server = new ControlServer(settings, replica, stateMachine, network);
--- a/replication/src/main/java/org/bamboohatch/replication/consensus/ConsensusCore.java
+++ b/replication/src/main/java/org/bamboohatch/replication/consensus/ConsensusCore.java
@@ -70,6 +70,9 @@
     /** Leader state, or {@code null} unless this replica is the leader. */
     private Leadership leadership;
 
+    /** Whether this replica is about to stop. */
+    private boolean leaving;
+
     /**
      * Creates a replica that starts as a follower.
      *
@@ -107,18 +110,13 @@
     }
 
     /**
-     * Advances time: a leader sends due messages or steps down, any other voter starts an election once its timeout has
-     * passed.
+     * Advances time: a leader sends due messages or steps down, another voter starts an election once its timeout has passed.
      *
      * @param now the current time in milliseconds
      */
     public void tick(long now) {
         if (role == Role.LEADER) {
-            if (leadership.hasLostQuorum(now)) {
-                becomeFollower(term, null, now);
-            } else {
-                leadership.tick(now);
-            }
+            leadership.tick(now);
         } else if (now >= electionDeadline) {
             if (membership().isVoter(self)) {
                 campaign(true, false, now);
@@ -160,7 +158,7 @@
      */
     public void handleJoin(JoinRequest request, long now) {
         if (role == Role.LEADER) {
-            leadership.handleJoin(request.member(), request.replaces(), now);
+            leadership.handleJoin(request, now);
         }
     }
 
@@ -176,6 +174,26 @@
         }
     }
 
+    /**
+     * Prepares a planned stop: a leader hands leadership over, a follower offers its vote to a learner in its replies.
+     *
+     * @param now the current time in milliseconds
+     */
+    public void leave(long now) {
+        leaving = true;
+        transferLeadership(now);
+    }
+
+    /**
+     * Indicates whether the group does not depend on this replica any more than it must.
+     *
+     * @return {@code true} if it neither leads nor votes, or if it does not lead and there is no learner to take its vote
+     */
+    public boolean hasLeft() {
+        boolean voteGiven = !membership().isVoter(self) && log.commitIndex() >= log.membershipIndex();
+        return role != Role.LEADER && (voteGiven || membership().learners().isEmpty());
+    }
+
     /**
      * Proposes a command. Only a leader that is not handing over accepts proposals.
      *
@@ -253,8 +271,7 @@
     }
 
     /**
-     * Indicates whether this replica has been without a leader for so long that it should look for a group that admits
-     * it. A voter waits longer than other replicas because its group may be holding an election.
+     * Indicates whether this replica has been without a leader for so long that it should look for a group that admits it.
      *
      * @param now the current time in milliseconds
      * @return {@code true} if this replica is not the leader and the leader loss timeout has passed
@@ -377,12 +394,9 @@
         if (!request.preliminary() && request.term() > term) {
             becomeFollower(request.term(), null, now);
         }
-        boolean upToDate = request.lastTerm() > log.entries().lastTerm()
-                || request.lastTerm() == log.entries().lastTerm()
-                        && request.lastIndex() >= log.entries().lastIndex();
         boolean voteAvailable =
                 request.preliminary() ? request.term() > term : votedFor == null || votedFor.equals(request.from());
-        boolean granted = upToDate && voteAvailable;
+        boolean granted = log.isContainedIn(request) && voteAvailable;
         if (granted && !request.preliminary()) {
             votedFor = request.from();
             log.effects().persistHardState(new HardState(term, votedFor));
@@ -434,13 +448,13 @@
 
     private void handleAppendRequest(AppendRequest request, long now) {
         if (request.term() < term) {
-            log.effects().sendAfterSync(request.from(), new AppendReply(self, term, false, 0, request.sentAt()));
+            sendAppendReply(request.from(), false, 0, request.sentAt());
             return;
         }
         acceptLeader(request.from(), request.term(), now);
         boolean matches = log.matches(request);
         long index = matches ? log.acceptAppend(request) : log.backtrackIndex(request);
-        log.effects().sendAfterSync(request.from(), new AppendReply(self, term, matches, index, request.sentAt()));
+        sendAppendReply(request.from(), matches, index, request.sentAt());
         if (request.transfer() && matches && membership().isVoter(self)) {
             campaign(false, true, now);
         }
@@ -448,13 +462,16 @@
 
     private void handleSnapshotRequest(SnapshotRequest request, long now) {
         if (request.term() < term) {
-            log.effects().sendAfterSync(request.from(), new AppendReply(self, term, false, 0, request.sentAt()));
+            sendAppendReply(request.from(), false, 0, request.sentAt());
             return;
         }
         acceptLeader(request.from(), request.term(), now);
         log.install(request.snapshot());
-        log.effects()
-                .sendAfterSync(request.from(), new AppendReply(self, term, true, log.commitIndex(), request.sentAt()));
+        sendAppendReply(request.from(), true, log.commitIndex(), request.sentAt());
+    }
+
+    private void sendAppendReply(ReplicaId to, boolean success, long matchIndex, long sentAt) {
+        log.effects().sendAfterSync(to, new AppendReply(self, term, success, matchIndex, sentAt, leaving));
     }
 
     /**
--- a/replication/src/main/java/org/bamboohatch/replication/consensus/FollowerProgress.java
+++ b/replication/src/main/java/org/bamboohatch/replication/consensus/FollowerProgress.java
@@ -35,6 +35,9 @@
 
     private long snapshotSendTime;
 
+    /** Whether the follower has announced that it is about to stop. */
+    private boolean leaving;
+
     /** Send time of the last message. Initially a heartbeat is due; half the minimum value avoids an overflow. */
     private long lastSendTime = Long.MIN_VALUE / 2;
 
@@ -61,6 +64,14 @@
         return lastAcknowledgedSend;
     }
 
+    boolean isLeaving() {
+        return leaving;
+    }
+
+    void setLeaving(boolean leaving) {
+        this.leaving = leaving;
+    }
+
     boolean canSendEntries() {
         return logMatches ? inFlightAppends < MAX_IN_FLIGHT_APPENDS : inFlightAppends == 0;
     }
--- a/replication/src/main/java/org/bamboohatch/replication/consensus/Leadership.java
+++ b/replication/src/main/java/org/bamboohatch/replication/consensus/Leadership.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Optional;
 
-import org.bamboohatch.kernel.id.HostName;
 import org.bamboohatch.kernel.id.ReplicaId;
 import org.bamboohatch.replication.message.EntryKind;
 import org.bamboohatch.replication.message.LogEntry;
@@ -14,6 +13,7 @@
 import org.bamboohatch.replication.message.Membership;
 import org.bamboohatch.replication.message.ReplicaMessage.AppendReply;
 import org.bamboohatch.replication.message.ReplicaMessage.AppendRequest;
+import org.bamboohatch.replication.message.ReplicaMessage.JoinRequest;
 import org.bamboohatch.replication.message.ReplicaMessage.SnapshotRequest;
 
 /** State and decisions of a replica while it is the leader. */
@@ -27,11 +27,8 @@
     /** Heartbeat intervals without an acknowledgement after which unanswered appends are considered lost. */
     private static final int APPEND_LOSS_TIMEOUT_HEARTBEATS = 4;
 
-    /** Time without an acknowledgement after which a voter may be replaced by an up-to-date learner. */
-    static final long UNRESPONSIVE_VOTER_TIMEOUT_MS = 2_500;
-
-    /** Time without an acknowledgement after which a learner is removed. It joins again when it returns. */
-    static final long LOST_LEARNER_TIMEOUT_MS = 10_000;
+    /** Minimum time between two attempts to hand leadership over to a replica that keeps its vote, in milliseconds. */
+    private static final long HAND_OVER_INTERVAL_MS = 5_000;
 
     /** Minimum time between two rounds of heartbeats that are triggered by reads. */
     private static final long MIN_CONFIRMATION_INTERVAL_MS = 8;
@@ -49,17 +46,16 @@
     /** Index of the first entry of the leader's term. */
     private final long termStartIndex;
 
-    /** Number of voters that membership repair restores. */
-    private final int desiredVoters;
+    private final MembershipRepair repair;
 
     private final Map<ReplicaId, FollowerProgress> followers = new HashMap<>();
 
-    /** Hosts whose voters are replaced, by the identity of the replacing learner. */
-    private final Map<ReplicaId, HostName> replacements = new HashMap<>();
-
     /** Time until which leadership is being handed over and no proposals are accepted, in milliseconds. */
     private long transferUntil = Long.MIN_VALUE;
 
+    /** Time from which a superseded leader may attempt again to hand over, in milliseconds. */
+    private long nextHandOver = Long.MIN_VALUE;
+
     /** Index of the last entry that is durable at the leader itself. */
     private long ownMatchIndex;
 
@@ -87,7 +83,8 @@
         this.log = replicaLog.entries();
         this.termStartIndex = log.lastIndex() + 1;
         this.ownMatchIndex = log.lastIndex();
-        this.desiredVoters = desiredVoters > 0 ? desiredVoters : nextOddVoterCount(membership());
+        int voters = desiredVoters > 0 ? desiredVoters : nextOddVoterCount(membership());
+        this.repair = new MembershipRepair(self, timing, voters);
         updateFollowers(now);
     }
 
@@ -101,12 +98,16 @@
     }
 
     /**
-     * Advances the membership repair and sends due heartbeats. Entries are sent again to followers that have not
-     * acknowledged recent appends.
+     * Steps down if the quorum is lost; otherwise advances the membership repair and sends due heartbeats. Entries are sent
+     * again to followers that have not acknowledged recent appends.
      *
      * @param now the current time in milliseconds
      */
     void tick(long now) {
+        if (hasLostQuorum(now)) {
+            core.becomeFollower(core.term(), null, now);
+            return;
+        }
         advanceMembershipRepair(now);
         followers.forEach((replica, progress) -> {
             if (progress.isHeartbeatDue(now, timing.heartbeatIntervalMillis())) {
@@ -162,6 +163,7 @@
                 .map(Member::replica)
                 .filter(replica -> !replica.equals(self))
                 .filter(replica -> followers.get(replica).matchIndex() == log.lastIndex())
+                .filter(replica -> !followers.get(replica).isLeaving())
                 .max(Comparator.comparingLong(replica -> followers.get(replica).lastAcknowledgedSend()))
                 .ifPresent(replica -> {
                     AppendRequest request = new AppendRequest(
@@ -188,6 +190,7 @@
         if (progress == null) {
             return;
         }
+        progress.setLeaving(reply.leaving());
         if (reply.success()) {
             progress.onSuccess(reply.matchIndex(), reply.sentAt());
             advanceCommitIndex(now);
@@ -205,15 +208,21 @@
     /**
      * Records which host's voter the replica replaces, and adds the replica as a learner if the membership may change.
      *
-     * @param member the joining replica
-     * @param replaces the host whose voter it replaces
+     * @param request the joining replica and the host whose voter it replaces
      * @param now the current time in milliseconds
      */
-    void handleJoin(Member member, HostName replaces, long now) {
-        replacements.put(member.replica(), replaces);
+    void handleJoin(JoinRequest request, long now) {
+        Member member = request.member();
+        repair.recordReplacement(member.replica(), request.replaces());
         boolean known = membership().find(member.replica()).isPresent();
         if (!known && mayChangeMembership()) {
-            proposeMembership(membership().withLearner(member), now);
+            long admittedAt = membership()
+                    .members()
+                    .filter(other -> other.host().equals(member.host()))
+                    .map(Member::admittedAt)
+                    .findFirst()
+                    .orElse(request.firstStart() ? 0 : log.lastIndex() + 1);
+            proposeMembership(membership().withLearner(member.withAdmission(admittedAt)), now);
         }
     }
 
@@ -224,7 +233,7 @@
      * @param now the current time in milliseconds
      * @return {@code true} if the leader must step down
      */
-    boolean hasLostQuorum(long now) {
+    private boolean hasLostQuorum(long now) {
         return now - quorumAcknowledgedSend(now) > timing.maximumElectionTimeoutMillis();
     }
 
@@ -299,10 +308,8 @@
     }
 
     /**
-     * Advances the repair of the membership by at most one change; only one change is uncommitted at a time. A caught-up
-     * learner that answers first causes the removal of the voter that it replaces. It is then promoted if there are fewer
-     * voters than desired, or exactly the desired number and one of them is unresponsive. If there are more voters than
-     * desired, an unresponsive one is removed; otherwise a learner that was lost long ago is.
+     * Advances the repair of the membership by at most one change; only one change is uncommitted at a time. A leader that
+     * should give up its vote hands over first.
      *
      * @param now the current time in milliseconds
      */
@@ -310,60 +317,13 @@
         if (!mayChangeMembership()) {
             return;
         }
-        for (Member learner : membership().learners()) {
-            FollowerProgress progress = followers.get(learner.replica());
-            if (progress == null
-                    || progress.matchIndex() < replicaLog.commitIndex()
-                    || silenceMillis(learner, now) > timing.maximumElectionTimeoutMillis()) {
-                continue;
-            }
-            HostName replaced = replacements.getOrDefault(learner.replica(), learner.host());
-            Optional<Member> replacedVoter = membership().voterOn(replaced);
-            if (replacedVoter.isPresent() && !replacedVoter.get().replica().equals(self)) {
-                proposeMembership(membership().without(replacedVoter.get().replica()), now);
-                return;
-            }
-            int voters = membership().voters().size();
-            boolean voterNeeded = voters < desiredVoters
-                    || voters == desiredVoters && longestUnresponsiveVoter(now).isPresent();
-            if (replacedVoter.isEmpty() && voterNeeded) {
-                proposeMembership(membership().withVoter(learner), now);
-                return;
-            }
-        }
-        if (membership().voters().size() > desiredVoters) {
-            longestUnresponsiveVoter(now)
-                    .ifPresent(voter -> proposeMembership(membership().without(voter.replica()), now));
-            return;
+        Optional<Membership> change = repair.next(membership(), followers, replicaLog.commitIndex(), now);
+        if (change.isPresent()) {
+            proposeMembership(change.get(), now);
+        } else if (now >= nextHandOver && repair.isLeaderSuperseded(membership())) {
+            nextHandOver = now + HAND_OVER_INTERVAL_MS;
+            beginTransfer(now);
         }
-        membership().learners().stream()
-                .filter(learner -> silenceMillis(learner, now) > LOST_LEARNER_TIMEOUT_MS)
-                .findFirst()
-                .ifPresent(learner -> proposeMembership(membership().without(learner.replica()), now));
-    }
-
-    /**
-     * Returns the time since the latest acknowledged message to a follower was sent.
-     *
-     * @param follower the voter or learner
-     * @param now the current time in milliseconds
-     * @return the time in milliseconds
-     */
-    private long silenceMillis(Member follower, long now) {
-        return now - followers.get(follower.replica()).lastAcknowledgedSend();
-    }
-
-    /**
-     * Returns the voter that has been unresponsive for the longest time.
-     *
-     * @param now the current time in milliseconds
-     * @return the voter, or empty if every voter has replied within the timeout
-     */
-    private Optional<Member> longestUnresponsiveVoter(long now) {
-        return membership().voters().stream()
-                .filter(member -> !member.replica().equals(self))
-                .filter(member -> silenceMillis(member, now) > UNRESPONSIVE_VOTER_TIMEOUT_MS)
-                .max(Comparator.comparingLong(member -> silenceMillis(member, now)));
     }
 
     /**
@@ -380,7 +340,7 @@
         if (ownMatchIndex >= index) {
             copies++;
         }
-        return copies > desiredVoters / 2;
+        return copies > repair.desiredVoters() / 2;
     }
 
     boolean isLeadershipConfirmedSince(long since, long now) {
--- a/replication/src/main/java/org/bamboohatch/replication/consensus/ReplicaLog.java
+++ b/replication/src/main/java/org/bamboohatch/replication/consensus/ReplicaLog.java
@@ -7,6 +7,7 @@
 import org.bamboohatch.replication.message.LogEntry;
 import org.bamboohatch.replication.message.Membership;
 import org.bamboohatch.replication.message.ReplicaMessage.AppendRequest;
+import org.bamboohatch.replication.message.ReplicaMessage.VoteRequest;
 import org.bamboohatch.replication.message.Snapshot;
 
 /** The log of one replica with its memberships, its commit index and its applied index. */
@@ -136,6 +137,18 @@
         return entry;
     }
 
+    /**
+     * Indicates whether the log of a candidate is at least as advanced as this one.
+     *
+     * @param request the vote request
+     * @return {@code true} if the candidate has all entries that may be committed here
+     */
+    boolean isContainedIn(VoteRequest request) {
+        return request.lastTerm() > entries().lastTerm()
+                || request.lastTerm() == entries().lastTerm()
+                        && request.lastIndex() >= entries().lastIndex();
+    }
+
     /**
      * Indicates whether the entry that precedes the carried ones matches this log.
      *
--- a/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaService.java
+++ b/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaService.java
@@ -17,6 +17,7 @@
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.bamboohatch.kernel.id.HostName;
 import org.bamboohatch.kernel.service.Invariant;
 import org.bamboohatch.kernel.service.Service;
 import org.bamboohatch.protocol.message.Message;
@@ -27,6 +28,7 @@
 import org.bamboohatch.replication.consensus.OutgoingMessage;
 import org.bamboohatch.replication.consensus.Role;
 import org.bamboohatch.replication.message.Member;
+import org.bamboohatch.replication.message.Membership;
 import org.bamboohatch.replication.message.ReplicaMessage;
 import org.bamboohatch.replication.message.ReplicaMessage.Envelope;
 import org.bamboohatch.replication.message.ReplicaMessage.Formation;
@@ -51,8 +53,8 @@
 
     private static final long TICK_MS = 20;
 
-    /** Time that a planned stop waits for another replica to take over leadership, in milliseconds. */
-    private static final long HAND_OVER_TIMEOUT_MS = 1_000;
+    /** Time that a planned stop waits for others to take over leadership and the vote of this replica, in milliseconds. */
+    private static final long HAND_OVER_TIMEOUT_MS = 2_000;
 
     /** Time between two attempts to bootstrap or join a group. */
     private static final long BOOTSTRAP_INTERVAL_MS = 300;
@@ -98,6 +100,9 @@
 
     private long nextBootstrapAttempt;
 
+    /** The membership that was logged last. */
+    private Membership loggedMembership = Membership.EMPTY;
+
     /** Time of the next log line about the missing leader, or zero while there is a leader. */
     private long nextLeaderLossReport;
 
@@ -130,7 +135,7 @@
             disk = new LocalDisk(settings.dataFolder());
             store = new LogStore(disk);
             LogStore.StoredState storedState = store.load(settings.host());
-            self = new Member(storedState.identity().replica(), settings.host(), settings.address());
+            self = new Member(storedState.identity().replica(), settings.host(), settings.address(), settings.zone());
             initialize(storedState);
         } catch (IOException unusable) {
             haltOnStorageFailure("data folder cannot be opened", unusable);
@@ -159,34 +164,34 @@
     }
 
     /**
-     * Hands leadership over before a planned stop, so that the group is not without a leader for an election timeout. Returns
-     * when this replica no longer leads, or after a timeout.
+     * Hands leadership and the vote of this replica over before a planned stop, so that the group neither is without a leader
+     * for an election timeout nor counts a replica that is gone. Returns when both are done, or after a timeout.
      */
     public void handOver() {
         long giveUpAt = now() + HAND_OVER_TIMEOUT_MS;
         try {
-            while (now() < giveUpAt && isLeaderHandingOver()) {
+            while (now() < giveUpAt && !hasLeft()) {
                 TimeUnit.MILLISECONDS.sleep(TICK_MS);
             }
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
         } catch (ExecutionException | TimeoutException unanswered) {
-            LOGGER.warn("replica: leadership is not handed over: {}", unanswered.toString());
+            LOGGER.warn("replica: leadership and vote are not handed over: {}", unanswered.toString());
         }
     }
 
     /**
-     * Continues to hand leadership over.
+     * Continues to leave the group.
      *
-     * @return whether this replica still leads
+     * @return whether this replica neither leads nor has a vote that another one could take
      */
-    private boolean isLeaderHandingOver() throws InterruptedException, ExecutionException, TimeoutException {
-        CompletableFuture<Boolean> leads = new CompletableFuture<>();
+    private boolean hasLeft() throws InterruptedException, ExecutionException, TimeoutException {
+        CompletableFuture<Boolean> left = new CompletableFuture<>();
         inbox.add(() -> {
-            core.transferLeadership(now());
-            leads.complete(core.role() == Role.LEADER);
+            core.leave(now());
+            left.complete(core.hasLeft());
         });
-        return leads.get(HAND_OVER_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        return left.get(HAND_OVER_TIMEOUT_MS, TimeUnit.MILLISECONDS);
     }
 
     @Override
@@ -329,6 +334,7 @@
             attemptBootstrap();
         }
         reportLeaderLoss(leaderLost, now());
+        reportMembership();
         stepper.step(now(), this::send, (entry, result) -> proposals.onApplied(entry, result, core));
         proposals.settle(core);
     }
@@ -344,6 +350,18 @@
         }
     }
 
+    private void reportMembership() {
+        Membership membership = core.membership();
+        if (!membership.equals(loggedMembership)) {
+            loggedMembership = membership;
+            LOGGER.info("replica: voters {}, learners {}", hosts(membership.voters()), hosts(membership.learners()));
+        }
+    }
+
+    private static List<HostName> hosts(List<Member> members) {
+        return members.stream().map(Member::host).toList();
+    }
+
     private void handleMessage(ReplicaMessage message) {
         if (message instanceof Probe probe) {
             boolean formed = core.log().lastIndex() > 0;
@@ -397,7 +415,9 @@
             }
         }
         for (Member member : bootstrap.formedReplicas()) {
-            send(member.address(), new JoinRequest(self.replica(), self, settings.replaces()));
+            send(
+                    member.address(),
+                    new JoinRequest(self.replica(), self, settings.replaces(), settings.bootstrapAllowed()));
         }
         if (core.log().lastIndex() > 0) {
             return;
--- a/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaSettings.java
+++ b/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaSettings.java
@@ -4,12 +4,14 @@
 import java.util.List;
 
 import org.bamboohatch.kernel.id.HostName;
+import org.bamboohatch.kernel.id.ZoneName;
 import org.bamboohatch.replication.consensus.ConsensusTiming;
 
 /**
  * Settings of a replica.
  *
  * @param host the host on which the replica runs
+ * @param zone the availability zone of the host
  * @param address the host and port at which other replicas reach this one
  * @param dataFolder the folder of the durable state
  * @param peers the addresses of the initial members, including this replica
@@ -22,6 +24,7 @@
  */
 public record ReplicaSettings(
         HostName host,
+        ZoneName zone,
         String address,
         Path dataFolder,
         List<String> peers,
--- a/replication/src/main/java/org/bamboohatch/replication/message/Membership.java
+++ b/replication/src/main/java/org/bamboohatch/replication/message/Membership.java
@@ -94,6 +94,19 @@
         return new Membership(Stream.concat(voters.stream(), Stream.of(member)).toList(), others.toList());
     }
 
+    /**
+     * Returns a copy in which a voter becomes a learner.
+     *
+     * @param voter the voter that loses its vote
+     * @return the changed membership
+     */
+    public Membership withoutVote(Member voter) {
+        Stream<Member> others = voters.stream().filter(other -> !other.equals(voter));
+        return new Membership(
+                others.toList(),
+                Stream.concat(learners.stream(), Stream.of(voter)).toList());
+    }
+
     /**
      * Returns a copy without a replica.
      *
--- a/replication/src/main/java/org/bamboohatch/replication/message/ReplicaMessage.java
+++ b/replication/src/main/java/org/bamboohatch/replication/message/ReplicaMessage.java
@@ -98,9 +98,25 @@
      * @param success whether the follower's log matches up to the match index
      * @param matchIndex the last matching durable index, or after a mismatch the index at which the leader should retry
      * @param sentAt the send time from the request in milliseconds
+     * @param leaving whether the follower is about to stop and gives up its vote if a learner can take it; a field of this
+     *     message because older replicas refuse unknown messages but ignore unknown fields
      */
-    record AppendReply(ReplicaId from, long term, boolean success, long matchIndex, long sentAt)
-            implements ReplicaMessage {}
+    record AppendReply(ReplicaId from, long term, boolean success, long matchIndex, long sentAt, boolean leaving)
+            implements ReplicaMessage {
+
+        /**
+         * Creates a reply of a follower that stays.
+         *
+         * @param from the follower
+         * @param term the follower's term
+         * @param success whether the follower's log matches up to the match index
+         * @param matchIndex the last matching durable index, or after a mismatch the index at which to retry
+         * @param sentAt the send time from the request in milliseconds
+         */
+        public AppendReply(ReplicaId from, long term, boolean success, long matchIndex, long sentAt) {
+            this(from, term, success, matchIndex, sentAt, false);
+        }
+    }
 
     /**
      * Carries a snapshot to a follower whose next entries the leader no longer retains.
@@ -118,8 +134,11 @@
      * @param from the joining replica
      * @param member the joining replica with its host and address
      * @param replaces the host whose voter it replaces
+     * @param firstStart whether the replica takes part in the first start of the installation, so that it replaces no other;
+     *     missing in messages of older replicas
      */
-    record JoinRequest(ReplicaId from, Member member, HostName replaces) implements ReplicaMessage {}
+    record JoinRequest(ReplicaId from, Member member, HostName replaces, boolean firstStart)
+            implements ReplicaMessage {}
 
     /**
      * Asks a replica whether it is a member of a group.
--- a/replication/src/test/java/org/bamboohatch/replication/driver/TooFewReplicasTest.java
+++ b/replication/src/test/java/org/bamboohatch/replication/driver/TooFewReplicasTest.java
@@ -12,6 +12,7 @@
 
 import org.bamboohatch.kernel.event.Timeline;
 import org.bamboohatch.kernel.id.HostName;
+import org.bamboohatch.kernel.id.ZoneName;
 import org.bamboohatch.protocol.transport.FrameServer;
 import org.bamboohatch.protocol.transport.Network;
 import org.bamboohatch.replication.StateMachine;
@@ -87,6 +88,7 @@
             ReplicaService replica = new ReplicaService(
                     new ReplicaSettings(
                             host,
+                            new ZoneName("zone-" + number),
                             addresses.get(number),
                             folder.resolve("data-" + number),
                             addresses,
--- a/replication/src/test/java/org/bamboohatch/replication/simulation/LostLearnerTest.java
+++ b/replication/src/test/java/org/bamboohatch/replication/simulation/LostLearnerTest.java
@@ -5,7 +5,9 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
+import org.bamboohatch.kernel.id.ZoneName;
 import org.bamboohatch.replication.consensus.Role;
+import org.bamboohatch.replication.message.Member;
 import org.bamboohatch.replication.message.Membership;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -26,7 +28,8 @@
 
     private static SimulatedCluster clusterWithLearner(long seed) throws IOException {
         SimulatedCluster cluster = new SimulatedCluster(seed, VOTERS, VOTERS);
-        cluster.addHost(VOTERS + 1);
+        // In the zone of a voter, it would take the place of that voter.
+        cluster.addHost(VOTERS + 1, new ZoneName("zone-of-the-learner"));
         cluster.advanceFor(JOIN_MS);
         assertThat(membership(cluster).learners()).hasSize(1);
         return cluster;
@@ -69,6 +72,8 @@
         assertThat(membership(cluster).learners()).isEmpty();
         learner(cluster).start();
         cluster.advanceFor(JOIN_MS);
-        assertThat(membership(cluster).learners()).containsExactly(learner(cluster).member);
+        assertThat(membership(cluster).learners())
+                .extracting(Member::replica)
+                .containsExactly(learner(cluster).member.replica());
     }
 }
--- a/replication/src/test/java/org/bamboohatch/replication/simulation/SimulatedCluster.java
+++ b/replication/src/test/java/org/bamboohatch/replication/simulation/SimulatedCluster.java
@@ -14,6 +14,7 @@
 
 import org.bamboohatch.kernel.id.HostName;
 import org.bamboohatch.kernel.id.ReplicaId;
+import org.bamboohatch.kernel.id.ZoneName;
 import org.bamboohatch.kernel.service.Invariant;
 import org.bamboohatch.replication.consensus.OutgoingMessage;
 import org.bamboohatch.replication.consensus.Role;
@@ -33,6 +34,9 @@
  */
 public final class SimulatedCluster {
 
+    /** Hosts are spread over the zones in turn. */
+    private static final int ZONES = 3;
+
     /** Limit of reads that wait for a leadership confirmation. */
     private static final int MAX_READS = 60;
 
@@ -79,7 +83,7 @@
         this.desiredVoters = desiredVoters;
         random = new SplittableRandom(seed);
         for (int number = 1; number <= size; number++) {
-            createReplica(number);
+            createReplica(number, zoneOf(number));
         }
         for (SimulatedReplica replica : replicas) {
             replica.initializeStore(null);
@@ -92,9 +96,13 @@
         }
     }
 
-    private SimulatedReplica createReplica(int number) {
+    private static ZoneName zoneOf(int number) {
+        return new ZoneName("zone-" + number % ZONES);
+    }
+
+    private SimulatedReplica createReplica(int number, ZoneName zone) {
         double rate = 0.97 + random.nextDouble() * 0.06;
-        SimulatedReplica replica = new SimulatedReplica(this, "host-" + number, rate, random.split());
+        SimulatedReplica replica = new SimulatedReplica(this, "host-" + number, zone, rate, random.split());
         replicas.add(replica);
         return replica;
     }
@@ -106,20 +114,33 @@
 
     /** Starts a replica on a new host with an empty disk, which asks to join. */
     SimulatedReplica addHost(int number) throws IOException {
-        SimulatedReplica added = createReplica(number);
+        return addHost(number, zoneOf(number));
+    }
+
+    /** Starts a replica on a new host with an empty disk in a given zone, which asks to join. */
+    SimulatedReplica addHost(int number, ZoneName zone) throws IOException {
+        SimulatedReplica added = createReplica(number, zone);
         added.start();
         return added;
     }
 
-    /** Ends a replica for good, after it has handed leadership over if that is planned. */
+    /** Ends a replica for good, after it has handed leadership and its vote over if that is planned. */
     void removeHost(SimulatedReplica removed, boolean planned) {
-        for (int round = 0; planned && round < 100 && removed.core.role() == Role.LEADER; round++) {
-            removed.core.transferLeadership(removed.now());
-            advance(10);
+        if (planned) {
+            leave(removed);
         }
         replicas.remove(removed);
     }
 
+    /** Prepares the planned stop of a replica, with the timeout of the driver. */
+    void leave(SimulatedReplica leaving) {
+        leaving.core.leave(leaving.now());
+        for (int round = 0; round < 200 && !leaving.core.hasLeft(); round++) {
+            advance(10);
+            leaving.core.leave(leaving.now());
+        }
+    }
+
     /** Replaces the disk of a replica by an empty one. */
     void replaceDisk(SimulatedReplica replica) throws IOException {
         replica.crash();
@@ -227,7 +248,7 @@
     }
 
     private boolean isCurrentIdentity(Member voter) {
-        return replicas.stream().anyMatch(replica -> replica.member.equals(voter));
+        return replicas.stream().anyMatch(replica -> replica.member.replica().equals(voter.replica()));
     }
 
     private void advance(long millis) {
@@ -271,7 +292,7 @@
                             now + 5,
                             other.host,
                             other.member.replica(),
-                            new JoinRequest(replica.member.replica(), replica.member, replica.host),
+                            new JoinRequest(replica.member.replica(), replica.member, replica.host, false),
                             replica.host));
                 }
             }
--- a/replication/src/test/java/org/bamboohatch/replication/simulation/SimulatedReplica.java
+++ b/replication/src/test/java/org/bamboohatch/replication/simulation/SimulatedReplica.java
@@ -8,6 +8,7 @@
 
 import org.bamboohatch.kernel.id.HostName;
 import org.bamboohatch.kernel.id.ReplicaId;
+import org.bamboohatch.kernel.id.ZoneName;
 import org.bamboohatch.replication.StateMachine;
 import org.bamboohatch.replication.consensus.ConsensusCore;
 import org.bamboohatch.replication.consensus.ConsensusTiming;
@@ -28,6 +29,8 @@
 
     final HostName host;
 
+    final ZoneName zone;
+
     /** Speed of the replica's clock relative to the simulated time. */
     final double clockRate;
 
@@ -52,12 +55,13 @@
     private ReplicaStepper stepper;
     private int identityCount;
 
-    SimulatedReplica(SimulatedCluster cluster, String name, double clockRate, SplittableRandom random) {
+    SimulatedReplica(SimulatedCluster cluster, String name, ZoneName zone, double clockRate, SplittableRandom random) {
         this.cluster = cluster;
         this.host = new HostName(name);
+        this.zone = zone;
         this.clockRate = clockRate;
         this.random = random;
-        this.member = new Member(nextIdentity(), host, name);
+        this.member = new Member(nextIdentity(), host, name, zone);
     }
 
     /** State machine whose state is a hash of all applied commands. */
@@ -93,7 +97,7 @@
 
     void initializeStore(Snapshot bootstrap) throws IOException {
         LogStore store = new LogStore(disk, this::nextIdentity);
-        member = new Member(store.load(host).identity().replica(), host, host.value());
+        member = new Member(store.load(host).identity().replica(), host, host.value(), zone);
         if (bootstrap != null) {
             store.install(bootstrap);
         }
@@ -102,7 +106,7 @@
     void start() throws IOException {
         LogStore store = new LogStore(disk, this::nextIdentity);
         LogStore.StoredState stored = store.load(host);
-        member = new Member(stored.identity().replica(), host, host.value());
+        member = new Member(stored.identity().replica(), host, host.value(), zone);
         TextMachine machine = new TextMachine();
         machine.restore(stored.snapshot().state());
         applied.clear();
