Elect a founder if no configured peer has a disk

What callers saw: at a first start whose settings name three control processes without a disk, no configuration is acknowledged and no request is served, without end. Logs and metrics did not say why.

Cause: a group was bootstrapped by the configured peers with a disk only. With none among them nobody could, and the replicas know only the peers.

Change: if all configured peers answer that they have no disk, the replicas elect a founder with the peers as acceptors of single-decree Paxos, so that replicas which do not know of each other agree on one, also while a minority of the peers is down or has restarted. A replica that restarts before there is a group may still found it with the peers of its first start, which are recorded with its identity. A replica without a group logs what it lacks, and a gauge counts the missing answers. Probing and bootstrapping move from ReplicaService to BootstrapCoordinator.

--- a/control/src/main/java/org/bamboohatch/control/ControlHealth.java
+++ b/control/src/main/java/org/bamboohatch/control/ControlHealth.java
@@ -20,8 +20,10 @@
      * @param ready whether the process knows the leader of the replication group
      * @param voters number of voters that the process knows
      * @param desiredVoters number of voters that the configured tolerance needs, zero if none is configured
+     * @param missingBootstrapAnswers number of answers that the bootstrap of a group lacks
      */
-    public ControlHealth(BooleanSupplier ready, IntSupplier voters, int desiredVoters) {
+    public ControlHealth(
+            BooleanSupplier ready, IntSupplier voters, int desiredVoters, IntSupplier missingBootstrapAnswers) {
         this.ready = ready;
         Gauge.builder("control.leader.known", () -> ready.getAsBoolean() ? 1 : 0)
                 .description("whether the process knows the leader")
@@ -32,6 +34,9 @@
         Gauge.builder("control.voters.desired", () -> desiredVoters)
                 .description("voters that the configured tolerance needs")
                 .register(metrics);
+        Gauge.builder("control.bootstrap.missing.answers", missingBootstrapAnswers::getAsInt)
+                .description("configured peers whose answers the bootstrap of a replication group lacks")
+                .register(metrics);
     }
 
     /**
--- a/control/src/main/java/org/bamboohatch/control/ControlMain.java
+++ b/control/src/main/java/org/bamboohatch/control/ControlMain.java
@@ -76,15 +76,18 @@
                 ControlModule.NETWORK_THREADS, new Timeline(settings.host().value(), Timeline.DEFAULT_CAPACITY));
         LeaderRedirect redirect = new LeaderRedirect(settings, network, seeds);
         FrameServer server = new FrameServer(network, settings.listen(), redirect);
-        ControlHealth health = new ControlHealth(redirect::isReady, redirect::voters, settings.voters());
+        ControlHealth health = new ControlHealth(redirect::isReady, redirect::voters, settings.voters(), () -> 0);
         return new Service.Compound(List.of(network, server, redirect, extension.create(settings, network, health)));
     }
 
     private static Service createReplica(ControlSettings settings, Supplier<List<String>> seeds, Extension extension) {
         ControlComponent component = DaggerControlComponent.factory().create(settings);
         FrameServer server = new FrameServer(component.network(), settings.listen(), component.server());
-        ControlHealth health =
-                new ControlHealth(component.server()::isReady, component.server()::voters, settings.voters());
+        ControlHealth health = new ControlHealth(
+                component.server()::isReady,
+                component.server()::voters,
+                settings.voters(),
+                component.replica()::missingBootstrapAnswers);
         Service additional = extension.create(settings, component.network(), health);
         // Services stop in reverse order: leadership is handed over while all others still answer.
         return new Service.Compound(List.of(
--- a/control/src/main/java/org/bamboohatch/control/redirect/LeaderRedirect.java
+++ b/control/src/main/java/org/bamboohatch/control/redirect/LeaderRedirect.java
@@ -25,6 +25,8 @@
 import org.bamboohatch.protocol.transport.Link;
 import org.bamboohatch.protocol.transport.Network;
 import org.bamboohatch.protocol.transport.RequestHandler;
+import org.bamboohatch.replication.driver.FounderVotes;
+import org.bamboohatch.replication.message.ReplicaMessage.FounderRequest;
 import org.bamboohatch.replication.message.ReplicaMessage.NoReplica;
 import org.bamboohatch.replication.message.ReplicaMessage.Probe;
 
@@ -58,6 +60,9 @@
 
     private final ControlClient client;
 
+    /** Votes for the founder of a new group. A process that has restarted does not vote, as it has forgotten its votes. */
+    private final FounderVotes founderVotes;
+
     /** Links to the replicas that have sent probes, by address. */
     private final Map<String, Link> links = new ConcurrentHashMap<>();
 
@@ -86,6 +91,7 @@
         this.settings = settings;
         this.network = network;
         this.seeds = seeds;
+        this.founderVotes = new FounderVotes(identity, settings.advertisedAddress());
         this.client = new ControlClient(network, List.of(settings.advertisedAddress()));
     }
 
@@ -111,6 +117,12 @@
                     .connect()
                     .thenAccept(connection ->
                             connection.send(new NoReplica(identity, settings.advertisedAddress(), leader)));
+        } else if (request instanceof FounderRequest founder) {
+            if (settings.mayFound()) {
+                link(founder.replyAddress())
+                        .connect()
+                        .thenAccept(connection -> connection.send(founderVotes.vote(founder)));
+            }
         } else if (request instanceof ControlRequest) {
             exchange.end(new ControlReply.NotLeader(leader));
         }
--- a/control/src/test/java/org/bamboohatch/control/redirect/LeaderRedirectTest.java
+++ b/control/src/test/java/org/bamboohatch/control/redirect/LeaderRedirectTest.java
@@ -80,6 +80,10 @@
     }
 
     private void start(int number, String dataFolder, List<String> peers, List<String> seeds) {
+        start(number, dataFolder, peers, seeds, true);
+    }
+
+    private void start(int number, String dataFolder, List<String> peers, List<String> seeds, boolean firstStart) {
         ControlSettings settings = new ControlSettings(
                 new HostName("control-" + number),
                 new ZoneName("zone-a"),
@@ -89,7 +93,7 @@
                 dataFolder,
                 peers,
                 "",
-                true,
+                firstStart,
                 VOTERS,
                 10,
                 1,
@@ -144,6 +148,38 @@
         assertThat(callVia(1)).isInstanceOf(ControlReply.Fleet.class);
     }
 
+    /** No process that the settings name can found a group, and the others do not know of each other. */
+    @Test
+    void aGroupIsBootstrappedThoughNoPeerHasADisk() throws Exception {
+        List<String> peers = addresses.subList(3, PROCESSES);
+        for (int number = 0; number < VOTERS; number++) {
+            startReplica(number, peers, peers);
+        }
+        for (int number = VOTERS; number < PROCESSES; number++) {
+            startWithoutDisk(number, peers);
+        }
+        assertThat(callVia(PROCESSES - 1)).isInstanceOf(ControlReply.Fleet.class);
+        while (voters().size() < VOTERS) {
+            Thread.sleep(20);
+        }
+        assertThat(voters())
+                .allMatch(voter -> addresses.subList(0, VOTERS).stream().anyMatch(voter::endsWith));
+    }
+
+    /** The settings do not permit a bootstrap after the first start, but the replicas had not bootstrapped a group in it. */
+    @Test
+    void aGroupIsBootstrappedAfterARestartOfItsFounder() throws Exception {
+        List<String> peers = addresses.subList(0, VOTERS);
+        startReplica(0, peers, peers);
+        startReplica(1, peers, peers);
+        Thread.sleep(500);
+        started.remove(0).stop();
+        start(0, folder.resolve("data-0").toString(), peers, peers, false);
+        startReplica(2, peers, peers);
+        assertThat(callVia(1)).isInstanceOf(ControlReply.Fleet.class);
+        assertThat(voters()).hasSize(VOTERS);
+    }
+
     private List<String> voters() throws Exception {
         return ((ControlReply.Status) new ControlClient(network, List.of(addresses.get(1)))
                         .callOne(addresses.get(1), new GetStatus(), CALL_TIMEOUT)
--- a/replication/src/main/java/org/bamboohatch/replication/driver/GroupBootstrap.java
+++ b/replication/src/main/java/org/bamboohatch/replication/driver/GroupBootstrap.java
@@ -16,8 +16,9 @@
 
 /**
  * Decides how a replica with an empty data folder joins or bootstraps a replication group. A group is bootstrapped only
- * when every configured peer reports an empty data folder. A replica that has lost its disk receives replies from
- * members of the existing group and joins it under a new identity.
+ * when every configured peer reports an empty data folder or no disk. If none of them has a disk, the replicas elect the one
+ * that founds the group alone, and the others join it. A replica that has lost its disk receives replies from members of the
+ * existing group and joins it under a new identity.
  */
 final class GroupBootstrap {
 
@@ -49,7 +50,7 @@
      * Creates the bootstrap state of a replica.
      *
      * @param self this replica
-     * @param peers the addresses of the initial members, including this replica
+     * @param peers the addresses of the control processes that bootstrap a group, the same at all replicas
      * @param bootstrapAllowed whether a new group may be bootstrapped
      */
     GroupBootstrap(Member self, List<String> peers, boolean bootstrapAllowed) {
@@ -88,6 +89,52 @@
         return Optional.of(referral).filter(address -> !address.isEmpty());
     }
 
+    /**
+     * Indicates whether a founder must be elected among replicas that the settings do not name.
+     *
+     * @return {@code true} if a group may be bootstrapped, no configured peer has a disk, and no group is known
+     */
+    boolean isFounderElectionDue() {
+        return bootstrapAllowed
+                && formedReplicas.isEmpty()
+                && referral.isEmpty()
+                && !peers.isEmpty()
+                && diskless.containsAll(peers);
+    }
+
+    /**
+     * Returns the configured peers that have not answered, for which the bootstrap of a group waits.
+     *
+     * @return the addresses
+     */
+    List<String> unansweredPeers() {
+        return peers.stream()
+                .filter(peer -> !diskless.contains(peer)
+                        && !emptyReplicas.containsKey(peer)
+                        && !formedReplicas.containsKey(peer))
+                .toList();
+    }
+
+    /**
+     * Explains to operators why a replica with an empty data folder has neither joined nor bootstrapped a group.
+     *
+     * @param founderVotes number of peers that have voted in the latest attempt to elect a founder
+     * @return what is lacking, for the log
+     */
+    String explainMissingGroup(int founderVotes) {
+        if (!formedReplicas.isEmpty()) {
+            return "a group is known, but its leader has not admitted this replica yet";
+        } else if (!bootstrapAllowed) {
+            return "no group is known, and the settings do not allow this replica to bootstrap one";
+        } else if (!unansweredPeers().isEmpty()) {
+            return "a new group waits for the answers of " + unansweredPeers();
+        } else if (diskless.containsAll(peers)) {
+            return "none of " + peers + " has a disk, so " + (peers.size() / 2 + 1)
+                    + " of them that have not restarted must elect a founder; " + founderVotes + " have voted";
+        }
+        return "a new group waits for its founder among " + peers;
+    }
+
     /**
      * Summarizes which replicas have answered since the previous summary. Voters that do not answer are down or cut off;
      * replicas with an empty data folder in their place show that disks were lost.
@@ -142,7 +189,20 @@
         if (!allEmpty || !hasLowestAddress) {
             return Optional.empty();
         }
-        List<Member> voters = founders.stream().map(emptyReplicas::get).toList();
-        return Optional.of(new Snapshot(BOOTSTRAP_INDEX, 0, new Membership(voters, List.of()), new byte[0]));
+        return Optional.of(snapshotOf(founders.stream().map(emptyReplicas::get).toList()));
+    }
+
+    /**
+     * Returns the bootstrap snapshot of a group with a single initial member.
+     *
+     * @param founder the member
+     * @return the snapshot
+     */
+    static Snapshot snapshotOf(Member founder) {
+        return snapshotOf(List.of(founder));
+    }
+
+    private static Snapshot snapshotOf(List<Member> voters) {
+        return new Snapshot(BOOTSTRAP_INDEX, 0, new Membership(voters, List.of()), new byte[0]);
     }
 }
--- a/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaService.java
+++ b/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaService.java
@@ -3,11 +3,9 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -32,6 +30,7 @@
 import org.bamboohatch.replication.message.ReplicaMessage;
 import org.bamboohatch.replication.message.ReplicaMessage.Envelope;
 import org.bamboohatch.replication.message.ReplicaMessage.Formation;
+import org.bamboohatch.replication.message.ReplicaMessage.FounderReply;
 import org.bamboohatch.replication.message.ReplicaMessage.JoinRequest;
 import org.bamboohatch.replication.message.ReplicaMessage.NoReplica;
 import org.bamboohatch.replication.message.ReplicaMessage.Probe;
@@ -56,12 +55,6 @@
     /** Time that a planned stop waits for others to take over leadership and the vote of this replica, in milliseconds. */
     private static final long HAND_OVER_TIMEOUT_MS = 2_000;
 
-    /** Time between two attempts to bootstrap or join a group. */
-    private static final long BOOTSTRAP_INTERVAL_MS = 300;
-
-    /** Time without a leader after which the log says which replicas answer, and between two such lines. */
-    private static final long LEADER_LOSS_REPORT_INTERVAL_MS = 3_000;
-
     private static final int MAX_BATCH_TASKS = 4_096;
 
     private static final long NANOS_PER_MS = 1_000_000;
@@ -96,16 +89,14 @@
 
     private ReplicaStepper stepper;
 
-    private GroupBootstrap bootstrap;
+    private BootstrapCoordinator bootstrap;
 
-    private long nextBootstrapAttempt;
+    /** Number of answers that the bootstrap of a group lacks; written on the replica's thread, read by any thread. */
+    private volatile int missingBootstrapAnswers;
 
     /** The membership that was logged last. */
     private Membership loggedMembership = Membership.EMPTY;
 
-    /** Time of the next log line about the missing leader, or zero while there is a leader. */
-    private long nextLeaderLossReport;
-
     /**
      * Creates a replica that is not running yet.
      *
@@ -134,7 +125,7 @@
         try {
             disk = new LocalDisk(settings.dataFolder());
             store = new LogStore(disk);
-            LogStore.StoredState storedState = store.load(settings.host());
+            LogStore.StoredState storedState = store.load(settings.host(), permittedFoundingPeers());
             self = new Member(storedState.identity().replica(), settings.host(), settings.address(), settings.zone());
             initialize(storedState);
         } catch (IOException unusable) {
@@ -155,7 +146,11 @@
                 settings.desiredVoters(),
                 now());
         stepper = new ReplicaStepper(core, store, stateMachine, settings.snapshotEntries());
-        bootstrap = new GroupBootstrap(self, settings.peers(), settings.bootstrapAllowed());
+        List<String> foundingPeers = settings.bootstrapAllowed()
+                ? settings.peers()
+                : storedState.identity().foundingPeers();
+        bootstrap = new BootstrapCoordinator(
+                core, self, settings, foundingPeers, addresses, this::send, this::installBootstrapSnapshot);
         LOGGER.info(
                 "replica: {} starts at index {} in term {}",
                 self.replica(),
@@ -163,6 +158,25 @@
                 core.term());
     }
 
+    /**
+     * Returns the peers that are recorded with a new identity. A replica that restarts before there is a group may still found it
+     * with them, although its settings do not permit a bootstrap after the first start.
+     *
+     * @return the addresses, or null if the settings do not permit a bootstrap
+     */
+    private List<String> permittedFoundingPeers() {
+        return settings.bootstrapAllowed() ? settings.peers() : null;
+    }
+
+    /**
+     * Returns the number of answers that the bootstrap of a group lacks; may be called by any thread.
+     *
+     * @return the number of configured peers, zero if this replica is a member of a group
+     */
+    public int missingBootstrapAnswers() {
+        return missingBootstrapAnswers;
+    }
+
     /**
      * Hands leadership and the vote of this replica over before a planned stop, so that the group neither is without a leader
      * for an election timeout nor counts a replica that is gone. Returns when both are done, or after a timeout.
@@ -329,27 +343,13 @@
      * @throws IOException if the storage fails
      */
     private void step() throws IOException {
-        boolean leaderLost = core.isLeaderLost(now());
-        if (now() >= nextBootstrapAttempt && leaderLost) {
-            attemptBootstrap();
-        }
-        reportLeaderLoss(leaderLost, now());
+        bootstrap.advance(core.isLeaderLost(now()), now());
+        missingBootstrapAnswers = bootstrap.missingAnswers();
         reportMembership();
         stepper.step(now(), this::send, (entry, result) -> proposals.onApplied(entry, result, core));
         proposals.settle(core);
     }
 
-    private void reportLeaderLoss(boolean leaderLost, long now) {
-        if (!leaderLost) {
-            nextLeaderLossReport = 0;
-        } else if (nextLeaderLossReport == 0) {
-            nextLeaderLossReport = now + LEADER_LOSS_REPORT_INTERVAL_MS;
-        } else if (now >= nextLeaderLossReport) {
-            nextLeaderLossReport = now + LEADER_LOSS_REPORT_INTERVAL_MS;
-            LOGGER.warn("replica: there is no leader: {}", bootstrap.summarizeAnswers(core.membership()));
-        }
-    }
-
     private void reportMembership() {
         Membership membership = core.membership();
         if (!membership.equals(loggedMembership)) {
@@ -364,23 +364,15 @@
 
     private void handleMessage(ReplicaMessage message) {
         if (message instanceof Probe probe) {
-            boolean formed = core.log().lastIndex() > 0;
-            send(probe.member().address(), new ProbeReply(self.replica(), self, formed));
-            if (formed
-                    && core.membership().isVoter(probe.from())
-                    && GroupBootstrap.isBootstrapSnapshot(core.log().snapshot())) {
-                send(
-                        probe.member().address(),
-                        new Formation(self.replica(), core.log().snapshot()));
-            }
+            bootstrap.handleProbe(probe);
         } else if (message instanceof ProbeReply reply) {
             bootstrap.handleProbeReply(reply);
         } else if (message instanceof NoReplica reply) {
             bootstrap.handleNoReplica(reply);
+        } else if (message instanceof FounderReply reply) {
+            bootstrap.handleFounderReply(reply);
         } else if (message instanceof Formation formation) {
-            if (core.log().lastIndex() == 0 && formation.founding().membership().isVoter(self.replica())) {
-                installBootstrapSnapshot(formation.founding());
-            }
+            bootstrap.handleFormation(formation);
         } else if (message instanceof JoinRequest join) {
             handleJoinRequest(join);
         }
@@ -400,37 +392,6 @@
         }
     }
 
-    /**
-     * Probes the configured peers, known members and other senders, then bootstraps a group or asks to join an existing one.
-     */
-    private void attemptBootstrap() {
-        nextBootstrapAttempt = now() + BOOTSTRAP_INTERVAL_MS;
-        Set<String> probed = new LinkedHashSet<>(settings.peers());
-        core.membership().members().map(Member::address).forEach(probed::add);
-        probed.addAll(addresses.senders());
-        bootstrap.referral().ifPresent(probed::add);
-        for (String peer : probed) {
-            if (!peer.equals(settings.address())) {
-                send(peer, new Probe(self.replica(), self));
-            }
-        }
-        for (Member member : bootstrap.formedReplicas()) {
-            send(
-                    member.address(),
-                    new JoinRequest(self.replica(), self, settings.replaces(), settings.bootstrapAllowed()));
-        }
-        if (core.log().lastIndex() > 0) {
-            return;
-        }
-        bootstrap.bootstrapSnapshot().ifPresent(snapshot -> {
-            LOGGER.info("replica: bootstrapping a group of {}", settings.peers());
-            snapshot.membership().voters().stream()
-                    .filter(member -> !member.equals(self))
-                    .forEach(member -> send(member.address(), new Formation(self.replica(), snapshot)));
-            installBootstrapSnapshot(snapshot);
-        });
-    }
-
     /**
      * Starts as an initial member of a new group.
      *
@@ -439,7 +400,7 @@
     private void installBootstrapSnapshot(Snapshot snapshot) {
         try {
             store.install(snapshot);
-            initialize(store.load(settings.host()));
+            initialize(store.load(settings.host(), permittedFoundingPeers()));
         } catch (IOException failed) {
             haltOnStorageFailure("storage failed during the group bootstrap", failed);
         }
--- a/replication/src/main/java/org/bamboohatch/replication/message/ReplicaMessage.java
+++ b/replication/src/main/java/org/bamboohatch/replication/message/ReplicaMessage.java
@@ -167,6 +167,51 @@
      */
     record NoReplica(ReplicaId from, String address, String leader) implements ReplicaMessage {}
 
+    /**
+     * Asks a control process without a disk to take part in the election of the replica that founds the group, in one of two
+     * phases: to promise not to accept a lower ballot, or to accept a founder. Sent in the first start only, and only if all
+     * configured peers are such processes.
+     *
+     * @param from the proposing replica
+     * @param replyAddress the host and port of the proposing replica
+     * @param ballot the ballot of the attempt
+     * @param founder the founder to accept, null to ask for a promise
+     */
+    record FounderRequest(ReplicaId from, String replyAddress, FounderBallot ballot, Member founder)
+            implements ReplicaMessage {}
+
+    /**
+     * Replies to a founder request.
+     *
+     * @param from the identity of the process
+     * @param address the host and port of the process
+     * @param ballot the ballot of the request
+     * @param founder the founder in the request, null if it asked for a promise
+     * @param promised the highest ballot that the process has promised to or accepted; higher than that of a request that it
+     *     refuses
+     * @param acceptedIn the ballot in which the process has accepted a founder, null if it has accepted none
+     * @param accepted the founder that the process has accepted latest, null if it has accepted none
+     */
+    record FounderReply(
+            ReplicaId from,
+            String address,
+            FounderBallot ballot,
+            Member founder,
+            FounderBallot promised,
+            FounderBallot acceptedIn,
+            Member accepted)
+            implements ReplicaMessage {
+
+        /**
+         * Indicates whether the process has done what the request asked for.
+         *
+         * @return {@code true} if no higher ballot prevented it
+         */
+        public boolean isGranted() {
+            return promised.equals(ballot);
+        }
+    }
+
     /**
      * Informs a replica with an empty data folder that it is an initial member of a new group.
      *
@@ -206,6 +251,8 @@
                     Probe.class,
                     ProbeReply.class,
                     NoReplica.class,
+                    FounderRequest.class,
+                    FounderReply.class,
                     Formation.class,
                     Envelope.class);
         }
--- a/replication/src/main/java/org/bamboohatch/replication/storage/LogStore.java
+++ b/replication/src/main/java/org/bamboohatch/replication/storage/LogStore.java
@@ -35,8 +35,9 @@
      *
      * @param replica the generated identity
      * @param host the host to which the data folder belongs
+     * @param foundingPeers the peers with which the replica may bootstrap a group, as of its first start; null if it may not
      */
-    public record Identity(ReplicaId replica, HostName host) {}
+    public record Identity(ReplicaId replica, HostName host, List<String> foundingPeers) {}
 
     /**
      * The complete stored state.
@@ -82,7 +83,8 @@
     }
 
     /**
-     * Loads the complete state. An incomplete record at the end of the last segment is removed.
+     * Loads the complete state of a replica that may not bootstrap a group. An incomplete record at the end of the last segment
+     * is removed.
      *
      * @param host the host to which the folder must belong
      * @return the stored state, with a new identity if the folder is empty
@@ -90,8 +92,21 @@
      * @throws IOException if the data cannot be read
      */
     public StoredState load(HostName host) throws IOException {
+        return load(host, null);
+    }
+
+    /**
+     * Loads the complete state. An incomplete record at the end of the last segment is removed.
+     *
+     * @param host the host to which the folder must belong
+     * @param foundingPeers the peers that are recorded with a new identity; null if the replica may not bootstrap a group
+     * @return the stored state, with a new identity if the folder is empty
+     * @throws CorruptDataException if the data is corrupt or the folder belongs to another host
+     * @throws IOException if the data cannot be read
+     */
+    public StoredState load(HostName host, List<String> foundingPeers) throws IOException {
         List<String> files = disk.list();
-        Identity identity = loadIdentity(files, host);
+        Identity identity = loadIdentity(files, host, foundingPeers);
         HardState state =
                 files.contains(STATE_FILE) ? readSingleRecord(STATE_FILE, HardState.class) : HardState.INITIAL;
         Snapshot snapshot =
@@ -122,10 +137,11 @@
      *
      * @param files the names of the files in the folder
      * @param host the host to which the folder must belong
+     * @param foundingPeers the peers that are recorded with a new identity, or null
      * @return the identity of the replica
      * @throws IOException if the identity is missing although other files exist, or belongs to another host
      */
-    private Identity loadIdentity(List<String> files, HostName host) throws IOException {
+    private Identity loadIdentity(List<String> files, HostName host, List<String> foundingPeers) throws IOException {
         if (files.contains(IDENTITY_FILE)) {
             Identity identity = readSingleRecord(IDENTITY_FILE, Identity.class);
             if (!identity.host().equals(host)) {
@@ -136,7 +152,7 @@
         if (!files.isEmpty()) {
             throw new CorruptDataException(IDENTITY_FILE, 0, "the identity is missing although other data exists");
         }
-        Identity identity = new Identity(identitySupplier.get(), host);
+        Identity identity = new Identity(identitySupplier.get(), host, foundingPeers);
         writeSingleRecord(IDENTITY_FILE, identity);
         return identity;
     }
