Carry out orders without a version only while their callers wait

What callers saw: an operator withdraws an evacuation at a frozen host, gets no response, withdraws it at another one and evacuates the zone again. When the frozen host wakes, the first withdrawal takes effect, and requests are sent to the evacuated zone until somebody evacuates it once more. In the same way a late DELETE of a target ends a later start of it under the same name.

Cause: a host dates an order by when it reads it and passes it on without a look at its caller; the leader takes what comes last as the latest order.

Change: a host requests a ticket from the leader before it passes such an order on. By then the end of the connection is read if the caller has left, and the order is dropped. The leader refuses tickets of other terms and those that are older than 0.4 s by its monotonic clock, so an order that is held at any hop behind the first read is not late either; no clocks of two hosts are compared.

--- a/control/src/main/java/org/bamboohatch/control/server/ControlServer.java
+++ b/control/src/main/java/org/bamboohatch/control/server/ControlServer.java
@@ -33,10 +33,12 @@
 import org.bamboohatch.protocol.message.ControlRequest.GetFleet;
 import org.bamboohatch.protocol.message.ControlRequest.GetStatus;
 import org.bamboohatch.protocol.message.ControlRequest.LookupRun;
+import org.bamboohatch.protocol.message.ControlRequest.OpenOrder;
 import org.bamboohatch.protocol.message.ControlRequest.Poll;
 import org.bamboohatch.protocol.message.ControlRequest.Register;
 import org.bamboohatch.protocol.message.ControlRequest.ReplaceFleet;
 import org.bamboohatch.protocol.message.Message;
+import org.bamboohatch.protocol.message.OrderTicket;
 import org.bamboohatch.protocol.message.TargetAnnouncement;
 import org.bamboohatch.protocol.transport.Exchange;
 import org.bamboohatch.protocol.transport.Network;
@@ -253,6 +255,9 @@
             fleetRequests.register(register, this::ledgerTime, exchange);
         } else if (request instanceof Deregister deregister) {
             fleetRequests.deregister(deregister, this::ledgerTime, exchange);
+        } else if (request instanceof OpenOrder) {
+            exchange.end(new ControlReply.OrderOpened(
+                    new OrderTicket(session.leader().term(), ReplicaService.now())));
         } else if (request instanceof AwaitInForce await) {
             subscriberRequests.awaitInForce(await, exchange);
         } else {
--- a/control/src/main/java/org/bamboohatch/control/server/EvacuationRequests.java
+++ b/control/src/main/java/org/bamboohatch/control/server/EvacuationRequests.java
@@ -55,7 +55,7 @@
 
     /**
      * Proposes an order and replies once every live gateway applies the set that is then in effect, or after {@value
-     * #ACKNOWLEDGEMENT_TIMEOUT_MS} ms. An order for a zone that the settings do not name is refused. A repeated order is
+     * #ACKNOWLEDGEMENT_TIMEOUT_MS} ms. An order whose ticket has expired is not carried out. An order for a zone that the settings do not name is refused. A repeated order is
      * committed as well: only that shows that this process still leads and that the order holds. Used on the replica's
      * thread.
      *
@@ -69,6 +69,10 @@
             exchange.end(session.notLeader());
             return;
         }
+        if (!session.isTimely(request.ticket(), ReplicaService.now())) {
+            exchange.end(new ControlReply.OrderExpired());
+            return;
+        }
         if (!isNamed(request.zone())) {
             exchange.end(new ControlReply.Invalid(List.of("the settings name no availability zone " + request.zone())));
             return;
--- a/control/src/main/java/org/bamboohatch/control/server/FleetRequests.java
+++ b/control/src/main/java/org/bamboohatch/control/server/FleetRequests.java
@@ -142,7 +142,7 @@
     }
 
     /**
-     * Ends the lease of a target that has stopped; acknowledged once it is recorded and every live gateway applies it.
+     * Ends the lease of a target that has stopped, unless the ticket of the request has expired; acknowledged once it is recorded and every live gateway applies it.
      *
      * @param deregister the request
      * @param ledgerTime supplies the current ledger time, in milliseconds
@@ -150,6 +150,10 @@
      */
     void deregister(Deregister deregister, LongSupplier ledgerTime, Exchange exchange) {
         long now = ReplicaService.now();
+        if (!session.isTimely(deregister.ticket(), now)) {
+            exchange.end(new ControlReply.OrderExpired());
+            return;
+        }
         TargetDeparture departure = session.leader().targets().departureOf(deregister.target(), deregister.wallTime());
         session.leader().targets().depart(departure, now);
         LOGGER.info("targets: {} was deregistered", deregister.target());
--- a/control/src/main/java/org/bamboohatch/control/server/LeaderSession.java
+++ b/control/src/main/java/org/bamboohatch/control/server/LeaderSession.java
@@ -10,6 +10,7 @@
 import org.bamboohatch.control.state.TargetDeparture;
 import org.bamboohatch.kernel.id.ServiceName;
 import org.bamboohatch.protocol.message.ControlReply;
+import org.bamboohatch.protocol.message.OrderTicket;
 import org.bamboohatch.protocol.message.TargetAnnouncement;
 import org.bamboohatch.protocol.transport.Network;
 import org.bamboohatch.replication.consensus.Role;
@@ -201,6 +202,17 @@
         return replica.core().membership().members().map(Member::address).toList();
     }
 
+    /**
+     * Indicates whether an order may be carried out in this term.
+     *
+     * @param ticket ticket of the order, null if an older process sent it
+     * @param now current monotonic time, in milliseconds
+     * @return false if the order is too old, or this process does not lead
+     */
+    boolean isTimely(OrderTicket ticket, long now) {
+        return leader != null && (ticket == null || ticket.isValid(leader.term(), now));
+    }
+
     /**
      * Creates the reply of a process that does not lead.
      *
--- a/control/src/test/java/org/bamboohatch/control/server/EvacuationRequestsTest.java
+++ b/control/src/test/java/org/bamboohatch/control/server/EvacuationRequestsTest.java
@@ -17,9 +17,11 @@
 import org.bamboohatch.protocol.message.ControlReply.EvacuationChanged;
 import org.bamboohatch.protocol.message.ControlRequest;
 import org.bamboohatch.protocol.message.ControlRequest.ChangeEvacuation;
+import org.bamboohatch.protocol.message.ControlRequest.OpenOrder;
 import org.bamboohatch.protocol.message.ControlRequest.Poll;
 import org.bamboohatch.protocol.message.EvacuatedZones;
 import org.bamboohatch.protocol.message.Message;
+import org.bamboohatch.protocol.message.OrderTicket;
 import org.bamboohatch.protocol.transport.Exchange;
 import org.bamboohatch.protocol.transport.Network;
 import org.bamboohatch.replication.consensus.ConsensusTiming;
@@ -181,4 +183,43 @@
         assertThat(call(new ChangeEvacuation(ZONE, true, WALL_TIME))).isInstanceOf(ControlReply.Invalid.class);
         assertThat(status().evacuated().zones()).isEmpty();
     }
+
+    /** Guards against a withdrawal that a suspended process held and that took effect after a later evacuation. */
+    @Test
+    void anOrderThatIsLateIsNotCarriedOut() throws Exception {
+        start();
+        OrderTicket ticket = open();
+        assertThat(call(new ChangeEvacuation(ZONE, true, WALL_TIME, ticket))).isInstanceOf(EvacuationChanged.class);
+        TimeUnit.MILLISECONDS.sleep(500);
+        assertThat(call(new ChangeEvacuation(ZONE, false, WALL_TIME, ticket)))
+                .isInstanceOf(ControlReply.OrderExpired.class);
+        assertThat(evacuated()).contains(ZONE);
+    }
+
+    /** Another leader may have carried out later orders. */
+    @Test
+    void anOrderThatWasOpenedByAnotherLeaderIsNotCarriedOut() throws Exception {
+        start();
+        OrderTicket ticket = open();
+        OrderTicket earlier = new OrderTicket(ticket.term() - 1, ticket.issuedAt());
+        assertThat(call(new ChangeEvacuation(ZONE, true, WALL_TIME, earlier)))
+                .isInstanceOf(ControlReply.OrderExpired.class);
+        assertThat(evacuated()).isEmpty();
+    }
+
+    @Test
+    void anOrderThatIsSentAgainIsAcknowledgedAgain() throws Exception {
+        start();
+        assertThat(call(new ChangeEvacuation(ZONE, true, WALL_TIME, open()))).isInstanceOf(EvacuationChanged.class);
+        assertThat(call(new ChangeEvacuation(ZONE, true, WALL_TIME, open()))).isInstanceOf(EvacuationChanged.class);
+        assertThat(evacuated()).containsExactly(ZONE);
+    }
+
+    private OrderTicket open() throws Exception {
+        return ((ControlReply.OrderOpened) call(new OpenOrder())).ticket();
+    }
+
+    private List<ZoneName> evacuated() throws Exception {
+        return List.copyOf(((Changes) call(poll(0))).evacuated().zones());
+    }
 }
--- a/control/src/test/java/org/bamboohatch/control/server/TargetRegistrationTest.java
+++ b/control/src/test/java/org/bamboohatch/control/server/TargetRegistrationTest.java
@@ -25,10 +25,12 @@
 import org.bamboohatch.protocol.message.ControlReply;
 import org.bamboohatch.protocol.message.ControlRequest;
 import org.bamboohatch.protocol.message.ControlRequest.Deregister;
+import org.bamboohatch.protocol.message.ControlRequest.OpenOrder;
 import org.bamboohatch.protocol.message.ControlRequest.Register;
 import org.bamboohatch.protocol.message.ControlRequest.ReplaceFleet;
 import org.bamboohatch.protocol.message.FleetText;
 import org.bamboohatch.protocol.message.Message;
+import org.bamboohatch.protocol.message.OrderTicket;
 import org.bamboohatch.protocol.message.TargetAnnouncement;
 import org.bamboohatch.protocol.transport.Exchange;
 import org.bamboohatch.protocol.transport.Network;
@@ -205,7 +207,22 @@
     }
 
     private void deregister(String name) throws Exception {
-        assertThat(call(new Deregister(new TargetName(name), WALL_TIME))).isInstanceOf(ControlReply.Registered.class);
+        assertThat(call(new Deregister(new TargetName(name), WALL_TIME, null)))
+                .isInstanceOf(ControlReply.Registered.class);
+    }
+
+    /** Guards against a deregistration that a suspended process held and that ends a later start of the target. */
+    @Test
+    void aDeregistrationThatIsLateEndsNoLaterStart() throws Exception {
+        nameServices(7, "portal");
+        register("restarted", NAMED, 100, 5, false);
+        OrderTicket ticket = ((ControlReply.OrderOpened) call(new OpenOrder())).ticket();
+        deregister("restarted");
+        register("restarted", NAMED, 300, 1, false);
+        TimeUnit.MILLISECONDS.sleep(500);
+        assertThat(call(new Deregister(new TargetName("restarted"), WALL_TIME, ticket)))
+                .isInstanceOf(ControlReply.OrderExpired.class);
+        assertThat(liveTargets()).containsExactly("restarted");
     }
 
     /** Guards against heartbeats of another writer that take the addresses of sound targets for good. */
--- a/http/src/main/java/org/bamboohatch/http/HttpServerService.java
+++ b/http/src/main/java/org/bamboohatch/http/HttpServerService.java
@@ -1,9 +1,13 @@
 package org.bamboohatch.http;
 
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
 import java.util.concurrent.TimeUnit;
 
 import org.bamboohatch.kernel.service.Service;
 import org.eclipse.jetty.http2.server.HTTP2CServerConnectionFactory;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
@@ -49,12 +53,22 @@
         HttpConfiguration configuration = new HttpConfiguration();
         configuration.setRequestHeaderSize(MAX_HEADER_BYTES);
         configuration.setSendServerVersion(false);
-        ServerConnector connector = new ServerConnector(
-                server,
-                1,
-                2,
-                new HttpConnectionFactory(configuration),
-                new HTTP2CServerConnectionFactory(configuration));
+        ServerConnector connector =
+                new ServerConnector(
+                        server,
+                        1,
+                        2,
+                        new HttpConnectionFactory(configuration),
+                        new HTTP2CServerConnectionFactory(configuration)) {
+
+                    @Override
+                    protected SocketChannelEndPoint newEndPoint(
+                            SocketChannel channel, ManagedSelector selector, SelectionKey key) {
+                        SocketChannelEndPoint endPoint = new PeekingEndPoint(channel, selector, key, getScheduler());
+                        endPoint.setIdleTimeout(getIdleTimeout());
+                        return endPoint;
+                    }
+                };
         int colon = address.lastIndexOf(':');
         connector.setHost(address.substring(0, colon));
         connector.setPort(Integer.parseInt(address.substring(colon + 1)));
--- a/protocol/src/main/java/org/bamboohatch/protocol/message/ControlReply.java
+++ b/protocol/src/main/java/org/bamboohatch/protocol/message/ControlReply.java
@@ -206,6 +206,16 @@
      */
     record EvacuationChanged(EvacuatedZones evacuated) implements ControlReply {}
 
+    /**
+     * Contains a ticket for an order.
+     *
+     * @param ticket the ticket
+     */
+    record OrderOpened(OrderTicket ticket) implements ControlReply {}
+
+    /** Reports that the ticket of an order is not valid any more, so that the order was not carried out. */
+    record OrderExpired() implements ControlReply {}
+
     /**
      * Reports the outcome of a proposal of a fleet configuration.
      *
--- a/protocol/src/main/java/org/bamboohatch/protocol/message/ControlRequest.java
+++ b/protocol/src/main/java/org/bamboohatch/protocol/message/ControlRequest.java
@@ -173,8 +173,10 @@
      * @param target name of the target
      * @param wallTime wall-clock time at which the operator's call was received, in Unix milliseconds; used if the start
      *     of the target is unknown
+     * @param ticket shows how long the request has been under way; {@code null} in requests of older processes, which are
+     *     carried out at any age
      */
-    record Deregister(TargetName target, long wallTime) implements ControlRequest {}
+    record Deregister(TargetName target, long wallTime, OrderTicket ticket) implements ControlRequest {}
 
     /**
      * Evacuates an availability zone, so that gateways send nothing new to its targets, or ends the evacuation. A
@@ -184,8 +186,26 @@
      * @param evacuated whether the zone is to be evacuated, false to end its evacuation
      * @param wallTime wall-clock time at which the operator's call was received, in Unix milliseconds; a lower bound of
      *     the version of the set that the order creates
+     * @param ticket shows how long the order has been under way; {@code null} in orders of the command line and of older
+     *     processes, which are carried out at any age
      */
-    record ChangeEvacuation(ZoneName zone, boolean evacuated, long wallTime) implements ControlRequest {}
+    record ChangeEvacuation(ZoneName zone, boolean evacuated, long wallTime, OrderTicket ticket)
+            implements ControlRequest {
+
+        /**
+         * Creates an order that is carried out at any age.
+         *
+         * @param zone the zone
+         * @param evacuated whether the zone is to be evacuated, false to end its evacuation
+         * @param wallTime wall-clock time at which the order was given, in Unix milliseconds
+         */
+        public ChangeEvacuation(ZoneName zone, boolean evacuated, long wallTime) {
+            this(zone, evacuated, wallTime, null);
+        }
+    }
+
+    /** Requests a ticket for an order, from the leader. */
+    record OpenOrder() implements ControlRequest {}
 
     /** Requests the current fleet configuration. */
     record GetFleet() implements ControlRequest {}
