Number the attempts to elect a founder in a reproducible way

A case of FounderElectionTest failed once: the ballots of two replicas had random parts, and the second replica's first ballot was the lower one, so its attempt was refused. Attempts are repeated with higher ballots in the program. The identity of a start is an argument now, the tests derive it from their seed, and the case makes the second attempt.

--- a/replication/src/main/java/org/bamboohatch/replication/driver/BootstrapCoordinator.java
+++ b/replication/src/main/java/org/bamboohatch/replication/driver/BootstrapCoordinator.java
@@ -9,6 +9,7 @@
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.bamboohatch.kernel.id.ReplicaId;
 import org.bamboohatch.protocol.message.Message;
 import org.bamboohatch.replication.consensus.ConsensusCore;
 import org.bamboohatch.replication.message.Member;
@@ -92,7 +93,7 @@
         this.installer = installer;
         this.peers = foundingPeers == null ? settings.peers() : foundingPeers;
         this.bootstrap = new GroupBootstrap(self, peers, foundingPeers != null);
-        this.election = new FounderElection(self, peers);
+        this.election = new FounderElection(self, peers, ReplicaId.random());
     }
 
     /**
--- a/replication/src/main/java/org/bamboohatch/replication/driver/FounderElection.java
+++ b/replication/src/main/java/org/bamboohatch/replication/driver/FounderElection.java
@@ -25,7 +25,7 @@
     private final List<String> peers;
 
     /** Proposer of this start of the process. After a restart, a ballot of its own must not be used again. */
-    private final ReplicaId proposer = ReplicaId.random();
+    private final ReplicaId proposer;
 
     private long round;
 
@@ -46,9 +46,11 @@
      *
      * @param self the replica that proposes itself unless a founder may be elected already
      * @param peers the addresses of the acceptors, the same at all replicas
+     * @param proposer identifies this start of the process
      */
-    FounderElection(Member self, List<String> peers) {
+    FounderElection(Member self, List<String> peers, ReplicaId proposer) {
         this.self = self;
+        this.proposer = proposer;
         this.peers = List.copyOf(peers);
     }
 
@@ -74,7 +76,7 @@
     Optional<FounderRequest> handle(FounderReply reply) {
         round = Math.max(round, reply.promised().round());
         boolean expected = reply.ballot().equals(ballot) && Objects.equals(reply.founder(), proposed);
-        if (!expected || !reply.isGranted() || !peers.contains(reply.address())) {
+        if (!expected || !reply.wasGranted() || !peers.contains(reply.address())) {
             return Optional.empty();
         }
         granted.put(reply.address(), reply);
--- a/replication/src/main/java/org/bamboohatch/replication/message/ReplicaMessage.java
+++ b/replication/src/main/java/org/bamboohatch/replication/message/ReplicaMessage.java
@@ -207,7 +207,7 @@
          *
          * @return {@code true} if no higher ballot prevented it
          */
-        public boolean isGranted() {
+        public boolean wasGranted() {
             return promised.equals(ballot);
         }
     }
--- a/replication/src/test/java/org/bamboohatch/replication/driver/FounderElectionTest.java
+++ b/replication/src/test/java/org/bamboohatch/replication/driver/FounderElectionTest.java
@@ -44,12 +44,13 @@
         private final List<FounderElection> elections = new ArrayList<>();
         private final List<InFlight> inFlight = new ArrayList<>();
         private final Set<ReplicaId> elected = new HashSet<>();
+        private int starts;
 
         Fleet(long seed) {
             random = new SplittableRandom(seed);
             PEERS.forEach(peer -> voting.put(peer, new FounderVotes(new ReplicaId(peer), peer)));
             for (int number = 0; number < REPLICAS; number++) {
-                elections.add(new FounderElection(member(number), PEERS));
+                elections.add(election(number));
             }
         }
 
@@ -57,6 +58,12 @@
             return new Member(new ReplicaId("replica-" + number), new HostName("host-" + number), "address-" + number);
         }
 
+        private FounderElection election(int number) {
+            starts++;
+            ReplicaId proposer = new ReplicaId("start-" + random.nextInt(10) + "-" + starts);
+            return new FounderElection(member(number), PEERS, proposer);
+        }
+
         private void ask(int replica, FounderRequest request) {
             PEERS.forEach(peer -> inFlight.add(new InFlight(replica, peer, request, null)));
         }
@@ -68,7 +75,7 @@
                 ask(replica, elections.get(replica).begin());
             } else if (faulty && choice < 6) {
                 int replica = random.nextInt(REPLICAS);
-                elections.set(replica, new FounderElection(member(replica), PEERS));
+                elections.set(replica, election(replica));
             } else if (faulty && choice < 7) {
                 // Settings do not permit a bootstrap after a restart, so the process votes no more.
                 voting.remove(PEERS.get(2));
@@ -109,7 +116,8 @@
     void aSecondReplicaLearnsOfTheFounderThatWasElectedBefore() {
         Fleet fleet = new Fleet(1);
         fleet.voting.remove(PEERS.get(0));
-        for (int replica = 0; replica < 2; replica++) {
+        // The first attempt of the second replica may have a lower ballot than the one that elected the founder.
+        for (int replica : new int[] {0, 1, 1}) {
             fleet.ask(replica, fleet.elections.get(replica).begin());
             while (!fleet.inFlight.isEmpty()) {
                 fleet.deliver(false);
