Continue the ledger time from entries that are applied after the start of a term

What was seen: with the evidence against crashing requests in the state of control, a gateway that started after all processes had been killed took two of five recorded crashes for known and the others for crashes of the future.

The state machine never goes back, so the ledger time stood still for as long as the processes had run before. By the source, recorded answers were retained longer than set for the same reason; that was not tried.

Change: the leader continues from the latest applied ledger time if that is ahead of its own.

--- a/control/src/main/java/org/bamboohatch/control/server/ControlServer.java
+++ b/control/src/main/java/org/bamboohatch/control/server/ControlServer.java
@@ -233,7 +233,7 @@
         session.refreshLeadership();
         return session.leader() == null
                 ? stateMachine.ledger().time()
-                : session.leader().ledgerTime(ReplicaService.now());
+                : session.leader().ledgerTime(stateMachine.ledger().time(), ReplicaService.now());
     }
 
     /**
--- a/control/src/main/java/org/bamboohatch/control/server/LeaderState.java
+++ b/control/src/main/java/org/bamboohatch/control/server/LeaderState.java
@@ -24,11 +24,11 @@
 
     private final GatewayRegistry gateways;
 
-    /** Ledger time at the start of the term, in milliseconds. */
-    private final long ledgerTimeAtStart;
+    /** Ledger time from which this leader continues, in milliseconds. */
+    private long knownLedgerTime;
 
-    /** Monotonic time of the start of the term, in milliseconds. */
-    private final long startedAt;
+    /** Monotonic time at which that ledger time was known, in milliseconds. */
+    private long knownAt;
 
     /** Current placement orders by target. */
     private Map<TargetName, List<PlacementOrder>> orders = Map.of();
@@ -46,8 +46,8 @@
         this.term = term;
         this.targets = new TargetRegistry(term, departures, now);
         this.subscribers = new SubscriberRegistry(now);
-        this.ledgerTimeAtStart = ledgerTime;
-        this.startedAt = now;
+        this.knownLedgerTime = ledgerTime;
+        this.knownAt = now;
     }
 
     long term() {
@@ -72,13 +72,18 @@
 
     /**
      * Returns the ledger time, which continues from the last applied ledger time at the rate of the leader's
-     * monotonic clock.
+     * monotonic clock. After a restart the term begins before the entries of the log are applied, so they may advance it.
      *
+     * @param applied ledger time of the last applied entry, in milliseconds
      * @param now current monotonic time, in milliseconds
      * @return the ledger time in milliseconds
      */
-    long ledgerTime(long now) {
-        return ledgerTimeAtStart + now - startedAt;
+    long ledgerTime(long applied, long now) {
+        if (applied > knownLedgerTime + now - knownAt) {
+            knownLedgerTime = applied;
+            knownAt = now;
+        }
+        return knownLedgerTime + now - knownAt;
     }
 
     /**
--- a/control/src/main/java/org/bamboohatch/control/server/SubscriberAnswers.java
+++ b/control/src/main/java/org/bamboohatch/control/server/SubscriberAnswers.java
@@ -108,7 +108,7 @@
     ControlReply changes(Poll poll, LeaderState leader, List<String> controls, long now) {
         List<DocumentVersion> documents = stateMachine.documents().changedSince(poll.appliedRevision());
         long revision = stateMachine.documents().lastRevision();
-        long time = leader.ledgerTime(now);
+        long time = leader.ledgerTime(stateMachine.ledger().time(), now);
         int entries = leader.subscribers().entries();
         FleetText fleet = stateMachine.fleet().version() > poll.fleetVersion()
                 ? stateMachine.fleet().current()
