Record the evidence against requests that end targets

What callers saw: a request that crashes each engine that runs it is kept from engines after its third crash.

Cause: the evidence is in the memory of the gateways only, which end together.

Change: gateways have control record the crashes of traits that end targets or may turn out to with the next crash, once a second and off the path of requests. Control combines and bounds them, and sends them to gateways that start, with the first configuration. Responses clear recorded crashes. The record is a field beside the request of a command, as for departures, so older replicas ignore it.

--- a/control/src/main/java/org/bamboohatch/control/server/ControlServer.java
+++ b/control/src/main/java/org/bamboohatch/control/server/ControlServer.java
@@ -35,6 +35,7 @@
 import org.bamboohatch.protocol.message.ControlRequest.LookupRun;
 import org.bamboohatch.protocol.message.ControlRequest.OpenOrder;
 import org.bamboohatch.protocol.message.ControlRequest.Poll;
+import org.bamboohatch.protocol.message.ControlRequest.RecordCrashes;
 import org.bamboohatch.protocol.message.ControlRequest.Register;
 import org.bamboohatch.protocol.message.ControlRequest.ReplaceFleet;
 import org.bamboohatch.protocol.message.Message;
@@ -92,6 +93,8 @@
 
     private final EvacuationRequests evacuationRequests;
 
+    private final CrashRequests crashRequests;
+
     private final VoterShortage shortage;
 
     /** Whether a leader was known at the last sweep; written on the replica's thread, read by any thread. */
@@ -132,6 +135,7 @@
         this.session = new LeaderSession(settings, replica, stateMachine, network);
         this.subscriberRequests = new SubscriberRequests(session, stateMachine, answers, this::planPlacement);
         this.fleetRequests = new FleetRequests(session, settings, replica, stateMachine);
+        this.crashRequests = new CrashRequests(session, replica, stateMachine);
         this.evacuationRequests = new EvacuationRequests(session, settings, replica, stateMachine);
     }
 
@@ -255,6 +259,8 @@
             fleetRequests.register(register, this::ledgerTime, exchange);
         } else if (request instanceof Deregister deregister) {
             fleetRequests.deregister(deregister, this::ledgerTime, exchange);
+        } else if (request instanceof RecordCrashes crashes) {
+            crashRequests.record(crashes, this::ledgerTime, exchange);
         } else if (request instanceof OpenOrder) {
             exchange.end(new ControlReply.OrderOpened(
                     new OrderTicket(session.leader().term(), ReplicaService.now())));
--- a/control/src/main/java/org/bamboohatch/control/server/SubscriberAnswers.java
+++ b/control/src/main/java/org/bamboohatch/control/server/SubscriberAnswers.java
@@ -8,6 +8,7 @@
 import org.bamboohatch.protocol.message.ControlRequest.Announce;
 import org.bamboohatch.protocol.message.ControlRequest.GetDocument;
 import org.bamboohatch.protocol.message.ControlRequest.Poll;
+import org.bamboohatch.protocol.message.CrashEvidence;
 import org.bamboohatch.protocol.message.DocumentVersion;
 import org.bamboohatch.protocol.message.FleetText;
 
@@ -133,7 +134,8 @@
                     gateways,
                     controls,
                     false,
-                    stateMachine.evacuations().current());
+                    stateMachine.evacuations().current(),
+                    evidenceForNewcomer(poll, time));
         }
         TargetRegistry.Changes changes = leader.targets().changesSince(poll.epoch(), poll.version(), now);
         return new ControlReply.Changes(
@@ -149,7 +151,22 @@
                 gateways,
                 controls,
                 changes.full(),
-                stateMachine.evacuations().current());
+                stateMachine.evacuations().current(),
+                evidenceForNewcomer(poll, time));
+    }
+
+    /**
+     * Returns the evidence against requests that end targets, for a gateway that has just started. It comes with the first
+     * configuration, so that no request is forwarded before it is known.
+     *
+     * @param poll the poll
+     * @param time current ledger time, in milliseconds
+     * @return the evidence, null if the subscriber has a configuration or there is no evidence
+     */
+    private CrashEvidence evidenceForNewcomer(Poll poll, long time) {
+        CrashEvidence evidence =
+                poll.fleetVersion() == Poll.NO_FLEET ? stateMachine.crashes().evidence(time) : CrashEvidence.NONE;
+        return evidence.crashes().isEmpty() ? null : evidence;
     }
 
     /**
--- a/control/src/main/java/org/bamboohatch/control/state/Command.java
+++ b/control/src/main/java/org/bamboohatch/control/state/Command.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.bamboohatch.protocol.message.CrashEvidence;
 import org.bamboohatch.protocol.message.Message;
 import org.bamboohatch.protocol.message.MessageCatalog;
 
@@ -12,8 +13,9 @@
  * @param request the request that the state machine applies
  * @param departure a target that has left, or null; a field beside the request, because older replicas stop at unknown
  *     requests but ignore unknown fields
+ * @param crashes evidence against requests that end targets, or null; a field for the same reason
  */
-public record Command(long time, Message request, TargetDeparture departure) {
+public record Command(long time, Message request, TargetDeparture departure, CrashEvidence crashes) {
 
     /**
      * Creates a command that records no departure.
@@ -22,7 +24,7 @@
      * @param request the request that the state machine applies
      */
     public Command(long time, Message request) {
-        this(time, request, null);
+        this(time, request, null, null);
     }
 
     /**
@@ -33,7 +35,18 @@
      * @return the command, whose request evicts nothing
      */
     public static Command recording(long time, TargetDeparture departure) {
-        return new Command(time, new Evict(Long.MIN_VALUE), departure);
+        return new Command(time, new Evict(Long.MIN_VALUE), departure, null);
+    }
+
+    /**
+     * Creates a command that only records evidence against requests that end targets.
+     *
+     * @param time ledger time at which the leader proposed the command, in milliseconds
+     * @param crashes the evidence
+     * @return the command, whose request evicts nothing
+     */
+    public static Command recording(long time, CrashEvidence crashes) {
+        return new Command(time, new Evict(Long.MIN_VALUE), null, crashes);
     }
 
     /**
--- a/control/src/main/java/org/bamboohatch/control/state/ControlStateMachine.java
+++ b/control/src/main/java/org/bamboohatch/control/state/ControlStateMachine.java
@@ -20,7 +20,7 @@
 
 /**
  * Replicated state of the control processes: the service documents, the ledger of runs, the fleet configuration, the
- * targets that have left and the evacuated availability zones.
+ * targets that have left, the evacuated availability zones and the evidence against requests that end targets.
  */
 public final class ControlStateMachine implements StateMachine {
 
@@ -34,6 +34,8 @@
 
     private final EvacuationStateMachine evacuations = new EvacuationStateMachine();
 
+    private final CrashStateMachine crashes = new CrashStateMachine();
+
     /** Notified of each departure that is applied. */
     private Consumer<TargetDeparture> departureListener = departure -> {};
 
@@ -48,13 +50,16 @@
      * @param fleet the fleet configuration, or null if there is none
      * @param departures the targets that have left, null in snapshots of versions that recorded none
      * @param evacuations the evacuated zones, null before the first order
+     * @param crashes evidence against requests that end targets, null in snapshots of versions that recorded none; those
+     *     versions ignore it, and gateways then find the requests anew
      */
     private record State(
             DocumentStateMachine.State documents,
             LedgerStateMachine.State ledger,
             FleetText fleet,
             List<DepartureStateMachine.Recorded> departures,
-            EvacuatedZones evacuations) {}
+            EvacuatedZones evacuations,
+            CrashStateMachine.State crashes) {}
 
     /**
      * Encodes a command for the log.
@@ -74,6 +79,9 @@
             departures.record(command.departure(), ledger.time());
             departureListener.accept(command.departure());
         }
+        if (command.crashes() != null) {
+            crashes.record(command.crashes(), ledger.time());
+        }
         return applyRequest(command.request());
     }
 
@@ -107,7 +115,13 @@
     public byte[] snapshot() {
         EvacuatedZones evacuated = evacuations.state();
         byte[] encoded = MessageCodec.instance()
-                .encode(new State(documents.state(), ledger.state(), fleet.current(), departures.state(), evacuated));
+                .encode(new State(
+                        documents.state(),
+                        ledger.state(),
+                        fleet.current(),
+                        departures.state(),
+                        evacuated,
+                        crashes.state()));
         return evacuated == null ? encoded : SnapshotFormat.mark(encoded);
     }
 
@@ -119,6 +133,7 @@
                         new LedgerStateMachine.State(0, List.of()),
                         null,
                         List.of(),
+                        null,
                         null)
                 : decode(SnapshotFormat.unmark(state), State.class);
         documents.restore(decoded.documents());
@@ -126,6 +141,7 @@
         fleet.restore(decoded.fleet());
         departures.restore(decoded.departures());
         evacuations.restore(decoded.evacuations());
+        crashes.restore(decoded.crashes());
     }
 
     /**
@@ -153,6 +169,10 @@
         return evacuations;
     }
 
+    public CrashStateMachine crashes() {
+        return crashes;
+    }
+
     public LedgerStateMachine ledger() {
         return ledger;
     }
--- a/control/src/test/java/org/bamboohatch/control/server/SubscriberAnswersTest.java
+++ b/control/src/test/java/org/bamboohatch/control/server/SubscriberAnswersTest.java
@@ -5,12 +5,14 @@
 import org.bamboohatch.control.state.Command;
 import org.bamboohatch.control.state.ControlStateMachine;
 import org.bamboohatch.kernel.id.HostName;
+import org.bamboohatch.kernel.id.RequestTrait;
 import org.bamboohatch.kernel.id.ServiceName;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.id.ZoneName;
 import org.bamboohatch.protocol.message.ControlReply;
 import org.bamboohatch.protocol.message.ControlRequest;
 import org.bamboohatch.protocol.message.ControlRequest.Poll;
+import org.bamboohatch.protocol.message.CrashEvidence;
 import org.bamboohatch.protocol.message.EvacuatedZones;
 import org.bamboohatch.protocol.message.TargetAnnouncement;
 import org.junit.jupiter.api.Test;
@@ -65,6 +67,22 @@
         assertThat(reply.joined()).hasSize(1);
     }
 
+    /** Guards against a gateway that forwards requests which have ended targets before it was started. */
+    @Test
+    void aGatewayThatStartsIsToldOfRequestsThatEndTargets() {
+        CrashEvidence evidence = new CrashEvidence(
+                List.of(new CrashEvidence.Crash(
+                        new TargetName("engine-1"), 1, 0, List.of(RequestTrait.ofContent("deadly")), false)),
+                List.of());
+        stateMachine.apply(1, ControlStateMachine.encode(Command.recording(0, evidence)));
+        Poll first = new Poll(
+                new HostName("gateway-1"), new ZoneName("zone-a"), 0, 0, 0, Poll.NO_FLEET, "127.0.0.1:1", false);
+        assertThat(((ControlReply.Changes) answers.changes(first, leader, List.of(), 0)).crashes())
+                .isEqualTo(evidence);
+        assertThat(((ControlReply.Changes) answers.changes(poll(TERM), leader, List.of(), 0)).crashes())
+                .isNull();
+    }
+
     private static TargetAnnouncement announcement(int number) {
         return new TargetAnnouncement(
                 new TargetName("engine-" + number),
--- a/gateway/src/main/java/org/bamboohatch/gateway/GatewayModule.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/GatewayModule.java
@@ -16,6 +16,7 @@
 import org.bamboohatch.gateway.forward.Forwarder;
 import org.bamboohatch.gateway.load.ExchangedState;
 import org.bamboohatch.gateway.load.LoadExchange;
+import org.bamboohatch.gateway.load.QuarantineRecorder;
 import org.bamboohatch.kernel.event.Timeline;
 import org.bamboohatch.protocol.client.ControlClient;
 import org.bamboohatch.protocol.transport.Network;
@@ -89,6 +90,12 @@
         return new LoadExchange(settings, state, loop);
     }
 
+    @Provides
+    @Singleton
+    static QuarantineRecorder quarantineRecorder(ExchangedState state, ControlClient control, EventLoop loop) {
+        return new QuarantineRecorder(state.quarantine(), control, loop);
+    }
+
     @Provides
     @Singleton
     static GatewayMetrics gatewayMetrics(PrometheusMeterRegistry registry) {
--- a/gateway/src/main/java/org/bamboohatch/gateway/GatewayProgram.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/GatewayProgram.java
@@ -17,6 +17,7 @@
 import org.bamboohatch.gateway.http.CallerServer;
 import org.bamboohatch.gateway.http.ReadinessServer;
 import org.bamboohatch.gateway.load.LoadExchange;
+import org.bamboohatch.gateway.load.QuarantineRecorder;
 import org.bamboohatch.kernel.service.Service;
 import org.bamboohatch.protocol.transport.Network;
 
@@ -40,6 +41,8 @@
 
     private final LoadExchange exchange;
 
+    private final QuarantineRecorder recorder;
+
     private final CallerServer callers;
 
     private final ReadinessServer readiness;
@@ -58,6 +61,7 @@
      * @param forwarder handles the requests of callers
      * @param buffers memory of the requests and responses
      * @param exchange exchanges load reports with other gateways
+     * @param recorder has control record the evidence against requests that end targets
      * @param registry registry whose metrics the readiness server exposes
      * @param metrics counters, gauges and histograms of this gateway
      */
@@ -70,6 +74,7 @@
             Forwarder forwarder,
             GatewayBuffers buffers,
             LoadExchange exchange,
+            QuarantineRecorder recorder,
             PrometheusMeterRegistry registry,
             GatewayMetrics metrics) {
         this.settings = settings;
@@ -78,6 +83,7 @@
         this.store = store;
         this.forwarder = forwarder;
         this.exchange = exchange;
+        this.recorder = recorder;
         this.callers = new CallerServer(Network.parse(settings.listen()), loop, forwarder, this::callerLimits, buffers);
         this.readiness = new ReadinessServer(Network.parse(settings.readiness()), loop, this::isReady, registry);
         metrics.registerGauge(
@@ -131,8 +137,10 @@
     @Override
     public void start() {
         network.start();
+        store.onEvidence(evidence -> loop.execute(() -> recorder.apply(evidence, GatewayClock.now())));
         store.onChange(view -> loop.execute(() -> apply(view)));
         exchange.start();
+        recorder.start();
         callers.start();
         readiness.start();
         store.start();
@@ -149,6 +157,7 @@
         stopping = true;
         new RequestDrain(loop, forwarder, callers, DrainSchedule.within(settings.stopMillis())).run();
         store.stop();
+        recorder.stop();
         callers.stop();
         readiness.stop();
         exchange.stop();
--- a/gateway/src/main/java/org/bamboohatch/gateway/configuration/FleetStore.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/configuration/FleetStore.java
@@ -24,6 +24,7 @@
 import org.bamboohatch.protocol.message.ControlReply;
 import org.bamboohatch.protocol.message.ControlReply.Changes;
 import org.bamboohatch.protocol.message.ControlRequest.Poll;
+import org.bamboohatch.protocol.message.CrashEvidence;
 import org.bamboohatch.protocol.message.FleetText;
 import org.bamboohatch.protocol.transport.Network;
 
@@ -69,6 +70,9 @@
 
     private final List<Consumer<FleetView>> listeners = new CopyOnWriteArrayList<>();
 
+    /** Receives the evidence against requests that end targets. */
+    private volatile Consumer<CrashEvidence> evidenceListener = evidence -> {};
+
     private volatile boolean running = true;
 
     /** Whether the reply to an urgent poll is pending. */
@@ -112,6 +116,15 @@
         listeners.add(listener);
     }
 
+    /**
+     * Sets the listener for the evidence against requests that end targets.
+     *
+     * @param listener invoked with what control has recorded, before the first copy with a configuration; must not block
+     */
+    public void onEvidence(Consumer<CrashEvidence> listener) {
+        evidenceListener = listener;
+    }
+
     @Override
     public void start() {
         poll();
@@ -229,6 +242,9 @@
         if (view.get() != copy) {
             return;
         }
+        if (changes.crashes() != null) {
+            evidenceListener.accept(changes.crashes());
+        }
         Optional<RouteTable> newerRouteTable = readNewer(changes.fleet(), copy);
         FleetView next = copy.apply(changes, newerRouteTable);
         if (!next.equals(copy)) {
--- a/gateway/src/main/java/org/bamboohatch/gateway/configuration/FleetView.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/configuration/FleetView.java
@@ -8,6 +8,7 @@
 import org.bamboohatch.kernel.id.ServiceName;
 import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.protocol.message.ControlReply.Changes;
+import org.bamboohatch.protocol.message.ControlRequest.Poll;
 import org.bamboohatch.protocol.message.EvacuatedZones;
 import org.bamboohatch.protocol.message.TargetAnnouncement;
 
@@ -59,10 +60,10 @@
     /**
      * Returns the version of the configuration.
      *
-     * @return the version, {@link Long#MIN_VALUE} if no configuration has been received yet
+     * @return the version, {@link Poll#NO_FLEET} if no configuration has been received yet
      */
     public long configurationVersion() {
-        return routeTable.map(RouteTable::version).orElse(Long.MIN_VALUE);
+        return routeTable.map(RouteTable::version).orElse(Poll.NO_FLEET);
     }
 
     /**
--- a/gateway/src/test/java/org/bamboohatch/gateway/configuration/FleetStoreTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/configuration/FleetStoreTest.java
@@ -3,6 +3,7 @@
 import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
@@ -10,10 +11,13 @@
 import org.bamboohatch.gateway.GatewaySettings;
 import org.bamboohatch.kernel.event.Timeline;
 import org.bamboohatch.kernel.id.HostName;
+import org.bamboohatch.kernel.id.RequestTrait;
+import org.bamboohatch.kernel.id.TargetName;
 import org.bamboohatch.kernel.id.ZoneName;
 import org.bamboohatch.protocol.client.ControlClient;
 import org.bamboohatch.protocol.message.ControlReply.Changes;
 import org.bamboohatch.protocol.message.ControlRequest.Poll;
+import org.bamboohatch.protocol.message.CrashEvidence;
 import org.bamboohatch.protocol.message.EvacuatedZones;
 import org.bamboohatch.protocol.message.Message;
 import org.bamboohatch.protocol.transport.Exchange;
@@ -127,6 +131,28 @@
         nextPoll(false).reply();
     }
 
+    /** Guards against requests that are forwarded before it is known that they have ended targets. */
+    @Test
+    void theFirstPollBringsTheEvidenceAgainstRequestsBeforeTheFirstCopy() throws Exception {
+        List<Object> received = new CopyOnWriteArrayList<>();
+        CrashEvidence evidence = new CrashEvidence(
+                List.of(new CrashEvidence.Crash(
+                        new TargetName("target"), 1, 0, List.of(RequestTrait.ofContent("deadly")), false)),
+                List.of());
+        store.onEvidence(received::add);
+        store.onChange(received::add);
+        store.start();
+        PendingPoll first = nextPoll(false);
+        assertThat(first.poll().fleetVersion()).isEqualTo(Poll.NO_FLEET);
+        first.exchange()
+                .end(new Changes(
+                        0, List.of(), 1, 1, List.of(), List.of(), 0, 0, null, List.of(), List.of(), false, null,
+                        evidence));
+        nextPoll(false);
+        assertThat(received).first().isEqualTo(evidence);
+        assertThat(received).hasSize(2);
+    }
+
     /** Control acknowledges an order to operators once the polls of all gateways report its version. */
     @Test
     void pollsReportTheVersionOfTheEvacuatedZones() throws Exception {
@@ -136,7 +162,8 @@
         EvacuatedZones evacuated = EvacuatedZones.of(7, List.of(new ZoneName("zone-b")));
         first.exchange()
                 .end(new Changes(
-                        0, List.of(), 1, 1, List.of(), List.of(), 0, 0, null, List.of(), List.of(), false, evacuated));
+                        0, List.of(), 1, 1, List.of(), List.of(), 0, 0, null, List.of(), List.of(), false, evacuated,
+                        null));
         assertThat(nextPoll(false).poll().evacuationVersion()).isEqualTo(7);
         assertThat(store.view().evacuatedZones()).isEqualTo(evacuated);
     }
--- a/gateway/src/test/java/org/bamboohatch/gateway/configuration/FleetViewTest.java
+++ b/gateway/src/test/java/org/bamboohatch/gateway/configuration/FleetViewTest.java
@@ -64,7 +64,7 @@
 
     private static Changes withEvacuated(EvacuatedZones evacuated) {
         return new Changes(
-                0, List.of(), 3, 1, List.of(), List.of(), 0, 0, null, List.of(), List.of(), false, evacuated);
+                0, List.of(), 3, 1, List.of(), List.of(), 0, 0, null, List.of(), List.of(), false, evacuated, null);
     }
 
     /** An urgent poll and a regular one, or two leaders, may be answered in another order than they decided. */
--- a/protocol/src/main/java/org/bamboohatch/protocol/message/ControlReply.java
+++ b/protocol/src/main/java/org/bamboohatch/protocol/message/ControlReply.java
@@ -136,6 +136,8 @@
      *     departures that the subscriber missed are no longer known; missing in replies of older control processes
      * @param evacuated all evacuated zones, also while the registry of a new leader is incomplete; {@code null} in
      *     replies of older control processes, which leaves the subscriber's copy as it is
+     * @param crashes evidence against requests that end targets, for a gateway that has no configuration yet; {@code null} for
+     *     others and in replies of older control processes
      */
     record Changes(
             long revision,
@@ -150,7 +152,8 @@
             List<String> gateways,
             List<String> controls,
             boolean whole,
-            EvacuatedZones evacuated)
+            EvacuatedZones evacuated,
+            CrashEvidence crashes)
             implements ControlReply {
 
         /**
@@ -195,6 +198,7 @@
                     gateways,
                     controls,
                     whole,
+                    null,
                     null);
         }
     }
@@ -206,6 +210,9 @@
      */
     record EvacuationChanged(EvacuatedZones evacuated) implements ControlReply {}
 
+    /** Confirms that evidence against requests that end targets is recorded. */
+    record CrashesRecorded() implements ControlReply {}
+
     /**
      * Contains a ticket for an order.
      *
--- a/protocol/src/main/java/org/bamboohatch/protocol/message/ControlRequest.java
+++ b/protocol/src/main/java/org/bamboohatch/protocol/message/ControlRequest.java
@@ -94,7 +94,8 @@
      * @param appliedRevision the configuration revision that the subscriber has applied
      * @param epoch epoch of the subscriber's copy of the target membership
      * @param version version of the subscriber's copy of the target membership
-     * @param fleetVersion version of the fleet configuration that the subscriber has applied
+     * @param fleetVersion version of the fleet configuration that the subscriber has applied; {@link #NO_FLEET} before the first
+     *     one, the highest number if it uses none
      * @param exchangeAddress address at which the subscriber receives load reports of other gateways, or an empty
      *     string for none
      * @param urgent whether the subscriber needs to prove that its copy is fresh, so that the reply is not delayed until
@@ -114,6 +115,9 @@
             Long evacuationVersion)
             implements ControlRequest {
 
+        /** Version of the fleet configuration of a subscriber that has not received any yet. */
+        public static final long NO_FLEET = Long.MIN_VALUE;
+
         /**
          * Creates the poll of a subscriber that does not use the evacuated zones.
          *
@@ -204,6 +208,14 @@
         }
     }
 
+    /**
+     * Records evidence against requests that end targets, so that it outlasts the gateways that have observed it. Recorded evidence
+     * is combined, so that the requests of several gateways may come in any order and more than once.
+     *
+     * @param evidence the evidence of a gateway
+     */
+    record RecordCrashes(CrashEvidence evidence) implements ControlRequest {}
+
     /** Requests a ticket for an order, from the leader. */
     record OpenOrder() implements ControlRequest {}
 
--- a/routing/src/main/java/org/bamboohatch/routing/quarantine/CrashAttribution.java
+++ b/routing/src/main/java/org/bamboohatch/routing/quarantine/CrashAttribution.java
@@ -112,6 +112,23 @@
         return causes;
     }
 
+    /**
+     * Returns the traits that end targets, or would be found to do so with one more crash.
+     *
+     * @param crashes the crashes, the oldest first
+     * @param generatedAt time at which a response was last generated on a trait, in milliseconds
+     * @return the traits, also those whose crashes another trait explains
+     */
+    static Set<RequestTrait> nearlyConclusive(Collection<TargetCrash> crashes, Map<RequestTrait, Long> generatedAt) {
+        Set<RequestTrait> traits = new HashSet<>();
+        count(List.copyOf(crashes), generatedAt, trait -> true).forEach((trait, count) -> {
+            if (count >= requiredCrashes(trait, generatedAt.containsKey(trait)) - 1) {
+                traits.add(trait);
+            }
+        });
+        return traits;
+    }
+
     private static boolean explains(List<TargetCrash> byContent, List<TargetCrash> byPart) {
         List<TargetCrash> others =
                 byPart.stream().filter(crash -> !byContent.contains(crash)).toList();
--- a/routing/src/main/java/org/bamboohatch/routing/quarantine/RequestQuarantine.java
+++ b/routing/src/main/java/org/bamboohatch/routing/quarantine/RequestQuarantine.java
@@ -298,6 +298,32 @@
                 .forEach(crash -> addCrash(crash, now));
     }
 
+    /**
+     * Returns what is worth being recorded outside of the gateways: the crashes of traits that end targets or may turn out to
+     * with the next crash, without their other suspects, and what has cleared evidence that was recorded before.
+     *
+     * @param recorded the evidence that was recorded before
+     * @param now current time, in milliseconds
+     * @return the evidence
+     */
+    public Observations evidence(Observations recorded, long now) {
+        if (crashes.isEmpty() && recorded.isEmpty()) {
+            return Observations.NONE;
+        }
+        assessIfDue(now);
+        List<TargetCrash> settled = settled(now);
+        Set<RequestTrait> accused = CrashAttribution.nearlyConclusive(settled, generatedOn(suspects(settled)));
+        accused.addAll(quarantined.keySet());
+        List<TargetCrash> evidence = new ArrayList<>();
+        settled.forEach(crash -> crash.retain(accused).ifPresent(evidence::add));
+        recorded.crashes().stream()
+                .map(crash -> crashes.get(crash.incarnation()))
+                .filter(crash -> crash != null && crash.state() == State.REFUTED)
+                .forEach(evidence::add);
+        accused.addAll(suspects(recorded.crashes()));
+        return new Observations(evidence, generatedOn(accused));
+    }
+
     /**
      * Returns the first trait that keeps a request from all targets.
      *
@@ -372,10 +398,7 @@
      */
     private void assess(long now) {
         crashes.values().removeIf(crash -> crash.at() <= now - expiryMillis(crash));
-        List<TargetCrash> settled = crashes.values().stream()
-                .filter(crash -> crash.state() != State.REFUTED && crash.at() <= now - SETTLING_MS)
-                .sorted(Comparator.comparingLong(TargetCrash::at))
-                .toList();
+        List<TargetCrash> settled = settled(now);
         Map<RequestTrait, List<TargetCrash>> causes =
                 CrashAttribution.attribute(settled, generatedOn(suspects(settled)));
         Map<RequestTrait, Verdict> next = new HashMap<>();
@@ -401,6 +424,13 @@
                 .forEach(this::assessBy);
     }
 
+    private List<TargetCrash> settled(long now) {
+        return crashes.values().stream()
+                .filter(crash -> crash.state() != State.REFUTED && crash.at() <= now - SETTLING_MS)
+                .sorted(Comparator.comparingLong(TargetCrash::at))
+                .toList();
+    }
+
     private long expiryMillis(TargetCrash crash) {
         return crash.state() == State.ATTRIBUTED ? durationMillis : UNEXPLAINED_EXPIRY_MS;
     }
--- a/routing/src/main/java/org/bamboohatch/routing/quarantine/TargetCrash.java
+++ b/routing/src/main/java/org/bamboohatch/routing/quarantine/TargetCrash.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 import org.bamboohatch.kernel.id.RequestTrait;
@@ -85,6 +86,17 @@
         return new TargetCrash(incarnation, answeredAt, List.of(), State.REFUTED);
     }
 
+    /**
+     * Returns the crash with some of its suspects.
+     *
+     * @param traits the suspects to retain
+     * @return the crash without other suspects, empty if none remains
+     */
+    Optional<TargetCrash> retain(Set<RequestTrait> traits) {
+        List<RequestTrait> retained = suspects.stream().filter(traits::contains).toList();
+        return retained.isEmpty() ? Optional.empty() : Optional.of(new TargetCrash(incarnation, at, retained, state));
+    }
+
     /**
      * Returns the crash once what may have caused it is known.
      *
