Let only replicas without a log succeed others

Cause: a replica that was away for more than ten seconds and returned with its disk counted as newly admitted, took over the vote of another one in its zone and could make the leader hand over. The limit of a learner's silence, made shorter for taking over votes of lost voters, also delayed learners that fill a vacant seat.

Change: a join request says whether the replica has a log or takes part in the first start. The shorter limit applies to learners that replace a lost voter only. LossAfterReplacementTest has a case for the return.

--- a/replication/src/main/java/org/bamboohatch/replication/consensus/Leadership.java
+++ b/replication/src/main/java/org/bamboohatch/replication/consensus/Leadership.java
@@ -221,7 +221,7 @@
                     .filter(other -> other.host().equals(member.host()))
                     .map(Member::admittedAt)
                     .findFirst()
-                    .orElse(request.firstStart() ? 0 : log.lastIndex() + 1);
+                    .orElse(request.established() ? 0 : log.lastIndex() + 1);
             proposeMembership(membership().withLearner(member.withAdmission(admittedAt)), now);
         }
     }
--- a/replication/src/main/java/org/bamboohatch/replication/consensus/MembershipRepair.java
+++ b/replication/src/main/java/org/bamboohatch/replication/consensus/MembershipRepair.java
@@ -104,8 +104,7 @@
     }
 
     /**
-     * Indicates whether a learner can take a vote. The limit of its silence is shorter than that of a voter, so that of two
-     * hosts that are lost together one does not replace the other.
+     * Indicates whether a learner can take a vote.
      *
      * @param progress the progress of the learner
      * @param commitIndex the commit index of the leader
@@ -116,16 +115,28 @@
         return progress != null
                 && !progress.isLeaving()
                 && progress.matchIndex() >= commitIndex
-                && now - progress.lastAcknowledgedSend() <= timing.minimumElectionTimeoutMillis();
+                && now - progress.lastAcknowledgedSend() <= timing.maximumElectionTimeoutMillis();
     }
 
+    /**
+     * Indicates whether a ready learner takes a vote. The limit of its silence is shorter than that of a lost voter, so that of
+     * two hosts that are lost together one does not replace the other.
+     *
+     * @param learner the learner
+     * @param membership the membership in force
+     * @param followers the progress of all members but the leader
+     * @param now the current time in milliseconds
+     * @return {@code true} if there are too few voters, or exactly the desired number and the learner replaces one of them
+     */
     private boolean isNeeded(
             Member learner, Membership membership, Map<ReplicaId, FollowerProgress> followers, long now) {
-        int voters = membership.voters().size();
-        return voters < desiredVoters
-                || voters == desiredVoters
-                        && (lostOrLeaving(membership, followers, now).isPresent()
-                                || membership.voters().stream().anyMatch(learner::isSuccessorOf));
+        int missing = desiredVoters - membership.voters().size();
+        if (missing != 0) {
+            return missing > 0;
+        }
+        boolean answers = silenceMillis(learner, followers, now) <= timing.minimumElectionTimeoutMillis();
+        return answers && lostOrLeaving(membership, followers, now).isPresent()
+                || membership.voters().stream().anyMatch(learner::isSuccessorOf);
     }
 
     /**
--- a/replication/src/main/java/org/bamboohatch/replication/driver/BootstrapCoordinator.java
+++ b/replication/src/main/java/org/bamboohatch/replication/driver/BootstrapCoordinator.java
@@ -156,11 +156,9 @@
                 sender.accept(peer, new Probe(self.replica(), self));
             }
         }
-        for (Member member : bootstrap.formedReplicas()) {
-            sender.accept(
-                    member.address(),
-                    new JoinRequest(self.replica(), self, settings.replaces(), settings.bootstrapAllowed()));
-        }
+        boolean established = settings.bootstrapAllowed() || core.log().lastIndex() > 0;
+        JoinRequest join = new JoinRequest(self.replica(), self, settings.replaces(), established);
+        bootstrap.formedReplicas().forEach(member -> sender.accept(member.address(), join));
         if (core.log().lastIndex() > 0) {
             return;
         }
--- a/replication/src/main/java/org/bamboohatch/replication/message/Member.java
+++ b/replication/src/main/java/org/bamboohatch/replication/message/Member.java
@@ -12,7 +12,7 @@
  * @param address the host and port at which other replicas reach it
  * @param zone the availability zone of the host, null if it is unknown, as in records of older replicas
  * @param admittedAt the log index at which the host was admitted to a group that existed already, zero for a host that took
- *     part in the first start
+ *     part in the first start or has returned with its disk
  */
 public record Member(ReplicaId replica, HostName host, String address, ZoneName zone, long admittedAt) {
 
--- a/replication/src/main/java/org/bamboohatch/replication/message/ReplicaMessage.java
+++ b/replication/src/main/java/org/bamboohatch/replication/message/ReplicaMessage.java
@@ -134,10 +134,10 @@
      * @param from the joining replica
      * @param member the joining replica with its host and address
      * @param replaces the host whose voter it replaces
-     * @param firstStart whether the replica takes part in the first start of the installation, so that it replaces no other;
-     *     missing in messages of older replicas
+     * @param established whether the replica takes part in the first start of the installation or has been a member before, so
+     *     that it is not expected to replace another one; missing in messages of older replicas
      */
-    record JoinRequest(ReplicaId from, Member member, HostName replaces, boolean firstStart)
+    record JoinRequest(ReplicaId from, Member member, HostName replaces, boolean established)
             implements ReplicaMessage {}
 
     /**
--- a/replication/src/test/java/org/bamboohatch/replication/simulation/LossAfterReplacementTest.java
+++ b/replication/src/test/java/org/bamboohatch/replication/simulation/LossAfterReplacementTest.java
@@ -79,6 +79,24 @@
                 .contains(replica.host);
     }
 
+    /** A hand-over would cost the state that the leader keeps in memory. */
+    @Property(tries = 20, seed = "20261207", shrinking = ShrinkingMode.OFF)
+    void aReplicaThatReturnsAfterALongTimeTakesNoVoteFromItsZone(@ForAll long seed) throws IOException {
+        SimulatedCluster cluster = new SimulatedCluster(seed, 2 * SIZE, SIZE + 2);
+        cluster.advanceFor(CATCH_UP_MS);
+        SimulatedReplica returning = cluster.replicas().stream()
+                .filter(replica -> replica != leader(cluster))
+                .findFirst()
+                .orElseThrow();
+        returning.crash();
+        cluster.advanceFor(2 * RECOVERY_MS);
+        returning.start();
+        cluster.advanceFor(RECOVERY_MS);
+        assertThat(leader(cluster).core.membership().voters()).allMatch(voter -> voter.admittedAt() == 0);
+        assertThat(leader(cluster).core.membership().members())
+                .anyMatch(member -> member.replica().equals(returning.member.replica()));
+    }
+
     private static void assertAllVotersRun(SimulatedCluster cluster) {
         assertThat(leader(cluster).core.membership().voters())
                 .hasSize(SIZE)
--- a/replication/src/test/java/org/bamboohatch/replication/simulation/SimulatedCluster.java
+++ b/replication/src/test/java/org/bamboohatch/replication/simulation/SimulatedCluster.java
@@ -292,7 +292,11 @@
                             now + 5,
                             other.host,
                             other.member.replica(),
-                            new JoinRequest(replica.member.replica(), replica.member, replica.host, false),
+                            new JoinRequest(
+                                    replica.member.replica(),
+                                    replica.member,
+                                    replica.host,
+                                    replica.core.log().lastIndex() > 0),
                             replica.host));
                 }
             }
