--- a/http/src/main/java/org/bamboohatch/http/CallerPresence.java
+++ b/http/src/main/java/org/bamboohatch/http/CallerPresence.java
@@ -7,7 +7,7 @@
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Request;
 
-/** Tells whether the caller of a request without a body still waits for the response. */
+/** Observes whether the caller of a request without a body still waits for the response. */
 public final class CallerPresence {
 
     private final BooleanSupplier left;
