--- a/control/src/main/java/org/bamboohatch/control/server/EvacuationRequests.java
+++ b/control/src/main/java/org/bamboohatch/control/server/EvacuationRequests.java
@@ -55,9 +55,9 @@
 
     /**
      * Proposes an order and replies once every live gateway applies the set that is then in effect, or after {@value
-     * #ACKNOWLEDGEMENT_TIMEOUT_MS} ms. An order whose ticket has expired is not carried out. An order for a zone that the settings do not name is refused. A repeated order is
-     * committed as well: only that shows that this process still leads and that the order holds. Used on the replica's
-     * thread.
+     * #ACKNOWLEDGEMENT_TIMEOUT_MS} ms. An order whose ticket has expired is not carried out. An order for a zone that the
+     * settings do not name is refused. A repeated order is committed as well: only that shows that this process still leads
+     * and that the order holds. Used on the replica's thread.
      *
      * @param request the order
      * @param ledgerTime supplies the current ledger time, in milliseconds
--- a/control/src/main/java/org/bamboohatch/control/server/FleetRequests.java
+++ b/control/src/main/java/org/bamboohatch/control/server/FleetRequests.java
@@ -142,7 +142,8 @@
     }
 
     /**
-     * Ends the lease of a target that has stopped, unless the ticket of the request has expired; acknowledged once it is recorded and every live gateway applies it.
+     * Ends the lease of a target that has stopped, unless the ticket of the request has expired; acknowledged once it is
+     * recorded and every live gateway applies it.
      *
      * @param deregister the request
      * @param ledgerTime supplies the current ledger time, in milliseconds
--- a/control/src/test/java/org/bamboohatch/control/redirect/LeaderRedirectTest.java
+++ b/control/src/test/java/org/bamboohatch/control/redirect/LeaderRedirectTest.java
@@ -134,7 +134,9 @@
         assertThat(voters()).noneMatch(voter -> voter.endsWith(addresses.get(0)));
     }
 
-    /** The settings of the replicas name one process without a disk, which is the only one that another such process knows. */
+    /**
+     * The settings of the replicas name one process without a disk, which is the only one that another such process knows.
+     */
     @Test
     void aLeaderIsFoundThoughTheSettingsNameProcessesWithoutADiskOnly() throws Exception {
         List<String> replicas = addresses.subList(2, PROCESSES);
--- a/control/src/test/java/org/bamboohatch/control/server/LeaderStateTest.java
+++ b/control/src/test/java/org/bamboohatch/control/server/LeaderStateTest.java
@@ -7,8 +7,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Guards against a ledger time that stands still after all control processes were restarted, for as long as they had run before: the
- * new leader counted from before the entries of its log were applied.
+ * Guards against a ledger time that stands still after all control processes were restarted, for as long as they had run
+ * before: the new leader counted from before the entries of its log were applied.
  */
 class LeaderStateTest {
 
--- a/control/src/test/java/org/bamboohatch/control/server/SubscriberAnswersTest.java
+++ b/control/src/test/java/org/bamboohatch/control/server/SubscriberAnswersTest.java
@@ -123,7 +123,9 @@
         return ((ControlReply.Changes) answers.changes(poll, leader, List.of(), now)).evacuated();
     }
 
-    /** A gateway that starts beside a new leader would otherwise send to evacuated targets until the registry is complete. */
+    /**
+     * A gateway that starts beside a new leader would otherwise send to evacuated targets until the registry is complete.
+     */
     @Test
     void everyReplyHasAllEvacuatedZonesAlsoWhileTheRegistryIsIncomplete() {
         assertThat(evacuated(poll(0, 0L), 200)).isEqualTo(EvacuatedZones.NONE);
--- a/control/src/test/java/org/bamboohatch/control/state/CrashStateMachineTest.java
+++ b/control/src/test/java/org/bamboohatch/control/state/CrashStateMachineTest.java
@@ -12,8 +12,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Guards against evidence that is lost when all gateways end, that grows without bound, or that shuts sound requests out although it
- * was refuted.
+ * Guards against evidence that is lost when all gateways end, that grows without bound, or that shuts sound requests out
+ * although it was refuted.
  */
 class CrashStateMachineTest {
 
--- a/gateway/src/main/java/org/bamboohatch/gateway/load/QuarantineRecorder.java
+++ b/gateway/src/main/java/org/bamboohatch/gateway/load/QuarantineRecorder.java
@@ -19,9 +19,9 @@
 import org.bamboohatch.routing.quarantine.TargetCrash.State;
 
 /**
- * Has control record the evidence against requests that end targets, and applies what it has recorded when the gateway starts.
- * Gateways hand evidence on to each other, but all of them may end at the same moment. Confined to the callers' event loop;
- * requests do not wait for it.
+ * Has control record the evidence against requests that end targets, and applies what it has recorded when the gateway
+ * starts. Gateways hand evidence on to each other, but all of them may end at the same moment. Confined to the callers'
+ * event loop; requests do not wait for it.
  */
 public final class QuarantineRecorder implements Service {
 
--- a/http/src/main/java/org/bamboohatch/http/PeekingEndPoint.java
+++ b/http/src/main/java/org/bamboohatch/http/PeekingEndPoint.java
@@ -11,8 +11,8 @@
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
- * A connection that tells whether its peer has closed it while a request is being handled, when the server does not read. What
- * arrives behind the request is kept for the next read.
+ * A connection that tells whether its peer has closed it while a request is being handled, when the server does not read.
+ * What arrives behind the request is kept for the next read.
  */
 final class PeekingEndPoint extends SocketChannelEndPoint {
 
--- a/protocol/src/main/java/org/bamboohatch/protocol/message/ControlReply.java
+++ b/protocol/src/main/java/org/bamboohatch/protocol/message/ControlReply.java
@@ -136,8 +136,8 @@
      *     departures that the subscriber missed are no longer known; missing in replies of older control processes
      * @param evacuated all evacuated zones, also while the registry of a new leader is incomplete; {@code null} in
      *     replies of older control processes, which leaves the subscriber's copy as it is
-     * @param crashes evidence against requests that end targets, for a gateway that has no configuration yet; {@code null} for
-     *     others and in replies of older control processes
+     * @param crashes evidence against requests that end targets, for a gateway that has no configuration yet; {@code null}
+     *     for others and in replies of older control processes
      */
     record Changes(
             long revision,
--- a/protocol/src/main/java/org/bamboohatch/protocol/message/ControlRequest.java
+++ b/protocol/src/main/java/org/bamboohatch/protocol/message/ControlRequest.java
@@ -94,8 +94,8 @@
      * @param appliedRevision the configuration revision that the subscriber has applied
      * @param epoch epoch of the subscriber's copy of the target membership
      * @param version version of the subscriber's copy of the target membership
-     * @param fleetVersion version of the fleet configuration that the subscriber has applied; {@link #NO_FLEET} before the first
-     *     one, the highest number if it uses none
+     * @param fleetVersion version of the fleet configuration that the subscriber has applied; {@link #NO_FLEET} before the
+     *     first one, the highest number if it uses none
      * @param exchangeAddress address at which the subscriber receives load reports of other gateways, or an empty
      *     string for none
      * @param urgent whether the subscriber needs to prove that its copy is fresh, so that the reply is not delayed until
@@ -209,8 +209,8 @@
     }
 
     /**
-     * Records evidence against requests that end targets, so that it outlasts the gateways that have observed it. Recorded evidence
-     * is combined, so that the requests of several gateways may come in any order and more than once.
+     * Records evidence against requests that end targets, so that it outlasts the gateways that have observed it. Recorded
+     * evidence is combined, so that the requests of several gateways may come in any order and more than once.
      *
      * @param evidence the evidence of a gateway
      */
--- a/protocol/src/main/java/org/bamboohatch/protocol/message/CrashEvidence.java
+++ b/protocol/src/main/java/org/bamboohatch/protocol/message/CrashEvidence.java
@@ -7,8 +7,8 @@
 import org.bamboohatch.kernel.id.TargetName;
 
 /**
- * What shows that requests with some traits end targets. Ages are relative to the time of the message, as no two processes share a
- * clock.
+ * What shows that requests with some traits end targets. Ages are relative to the time of the message, as no two processes
+ * share a clock.
  *
  * @param crashes presumed crashes of targets
  * @param generated when responses were last generated on traits of the crashes
--- a/protocol/src/main/java/org/bamboohatch/protocol/message/OrderTicket.java
+++ b/protocol/src/main/java/org/bamboohatch/protocol/message/OrderTicket.java
@@ -1,8 +1,8 @@
 package org.bamboohatch.protocol.message;
 
 /**
- * Shows the leader how long an order has been under way. An order that states no version of what it changes must not take effect
- * after later orders, when its caller has given it up and sent it again.
+ * Shows the leader how long an order has been under way. An order that states no version of what it changes must not take
+ * effect after later orders, when its caller has given it up and sent it again.
  *
  * @param term term of the leader that issued the ticket
  * @param issuedAt time at which it was issued, in milliseconds of the leader's monotonic clock
--- a/replication/src/main/java/org/bamboohatch/replication/consensus/ConsensusCore.java
+++ b/replication/src/main/java/org/bamboohatch/replication/consensus/ConsensusCore.java
@@ -110,7 +110,8 @@
     }
 
     /**
-     * Advances time: a leader sends due messages or steps down, another voter starts an election once its timeout has passed.
+     * Advances time: a leader sends due messages or steps down, another voter starts an election once its timeout has
+     * passed.
      *
      * @param now the current time in milliseconds
      */
--- a/replication/src/main/java/org/bamboohatch/replication/consensus/MembershipRepair.java
+++ b/replication/src/main/java/org/bamboohatch/replication/consensus/MembershipRepair.java
@@ -13,9 +13,9 @@
 
 /**
  * Decides how a leader keeps the desired number of votes with replicas that answer and stay. A learner that is ready takes
- * the vote of a voter that is unresponsive, about to stop, or superseded by the learner. It is promoted first, so that a group
- * whose voters all answer tolerates a loss in each step. The former voter becomes a learner: if it returns, it is available
- * without joining again.
+ * the vote of a voter that is unresponsive, about to stop, or superseded by the learner. It is promoted first, so that a
+ * group whose voters all answer tolerates a loss in each step. The former voter becomes a learner: if it returns, it is
+ * available without joining again.
  */
 final class MembershipRepair {
 
@@ -119,8 +119,8 @@
     }
 
     /**
-     * Indicates whether a ready learner takes a vote. The limit of its silence is shorter than that of a lost voter, so that of
-     * two hosts that are lost together one does not replace the other.
+     * Indicates whether a ready learner takes a vote. The limit of its silence is shorter than that of a lost voter, so that
+     * of two hosts that are lost together one does not replace the other.
      *
      * @param learner the learner
      * @param membership the membership in force
--- a/replication/src/main/java/org/bamboohatch/replication/driver/FounderElection.java
+++ b/replication/src/main/java/org/bamboohatch/replication/driver/FounderElection.java
@@ -15,8 +15,8 @@
 
 /**
  * Elects the replica that founds the group if no configured peer has a disk: the proposer of single-decree Paxos, with the
- * peers as acceptors. Replicas that do not know of each other thus agree on one founder, also while a minority of the peers is
- * down or has restarted.
+ * peers as acceptors. Replicas that do not know of each other thus agree on one founder, also while a minority of the peers
+ * is down or has restarted.
  */
 final class FounderElection {
 
--- a/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaService.java
+++ b/replication/src/main/java/org/bamboohatch/replication/driver/ReplicaService.java
@@ -159,8 +159,8 @@
     }
 
     /**
-     * Returns the peers that are recorded with a new identity. A replica that restarts before there is a group may still found it
-     * with them, although its settings do not permit a bootstrap after the first start.
+     * Returns the peers that are recorded with a new identity. A replica that restarts before there is a group may still
+     * found it with them, although its settings do not permit a bootstrap after the first start.
      *
      * @return the addresses, or null if the settings do not permit a bootstrap
      */
@@ -178,8 +178,8 @@
     }
 
     /**
-     * Hands leadership and the vote of this replica over before a planned stop, so that the group neither is without a leader
-     * for an election timeout nor counts a replica that is gone. Returns when both are done, or after a timeout.
+     * Hands leadership and the vote of this replica over before a planned stop, so that the group neither is without a
+     * leader for an election timeout nor counts a replica that is gone. Returns when both are done, or after a timeout.
      */
     public void handOver() {
         long giveUpAt = now() + HAND_OVER_TIMEOUT_MS;
--- a/replication/src/main/java/org/bamboohatch/replication/message/ReplicaMessage.java
+++ b/replication/src/main/java/org/bamboohatch/replication/message/ReplicaMessage.java
@@ -134,8 +134,8 @@
      * @param from the joining replica
      * @param member the joining replica with its host and address
      * @param replaces the host whose voter it replaces
-     * @param established whether the replica takes part in the first start of the installation or has been a member before, so
-     *     that it is not expected to replace another one; missing in messages of older replicas
+     * @param established whether the replica takes part in the first start of the installation or has been a member before,
+     *     so that it is not expected to replace another one; missing in messages of older replicas
      */
     record JoinRequest(ReplicaId from, Member member, HostName replaces, boolean established)
             implements ReplicaMessage {}
--- a/replication/src/main/java/org/bamboohatch/replication/storage/LogStore.java
+++ b/replication/src/main/java/org/bamboohatch/replication/storage/LogStore.java
@@ -83,8 +83,8 @@
     }
 
     /**
-     * Loads the complete state of a replica that may not bootstrap a group. An incomplete record at the end of the last segment
-     * is removed.
+     * Loads the complete state of a replica that may not bootstrap a group. An incomplete record at the end of the last
+     * segment is removed.
      *
      * @param host the host to which the folder must belong
      * @return the stored state, with a new identity if the folder is empty
--- a/replication/src/test/java/org/bamboohatch/replication/driver/FounderElectionTest.java
+++ b/replication/src/test/java/org/bamboohatch/replication/driver/FounderElectionTest.java
@@ -21,8 +21,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Guards against two groups, or none, after a first start whose settings name only processes without a disk. Messages are lost,
- * repeated and delayed, replicas restart, and one of the three voting processes restarts and forgets its votes.
+ * Guards against two groups, or none, after a first start whose settings name only processes without a disk. Messages are
+ * lost, repeated and delayed, replicas restart, and one of the three voting processes restarts and forgets its votes.
  */
 class FounderElectionTest {
 
--- a/replication/src/test/java/org/bamboohatch/replication/driver/TooFewReplicasTest.java
+++ b/replication/src/test/java/org/bamboohatch/replication/driver/TooFewReplicasTest.java
@@ -27,8 +27,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Guards against acknowledged changes that are lost with as many disks as the group is meant to tolerate, because it has fewer
- * voters than that takes and commits with fewer copies.
+ * Guards against acknowledged changes that are lost with as many disks as the group is meant to tolerate, because it has
+ * fewer voters than that takes and commits with fewer copies.
  */
 @Timeout(120)
 class TooFewReplicasTest {
--- a/replication/src/test/java/org/bamboohatch/replication/simulation/LossAfterReplacementTest.java
+++ b/replication/src/test/java/org/bamboohatch/replication/simulation/LossAfterReplacementTest.java
@@ -12,8 +12,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Guards against a group that loses its quorum for good when a disk is lost soon after a replica was replaced: the replica that
- * had gone kept its vote although its successor had caught up, so that two of three voters were gone.
+ * Guards against a group that loses its quorum for good when a disk is lost soon after a replica was replaced: the replica
+ * that had gone kept its vote although its successor had caught up, so that two of three voters were gone.
  */
 class LossAfterReplacementTest {
 
--- a/replication/src/test/java/org/bamboohatch/replication/simulation/LostLearnerTest.java
+++ b/replication/src/test/java/org/bamboohatch/replication/simulation/LostLearnerTest.java
@@ -13,8 +13,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Guards against a lost learner that takes the place of a lost voter: it looks caught up as long as nothing is committed, and
- * as a voter it makes the quorum larger without answering.
+ * Guards against a lost learner that takes the place of a lost voter: it looks caught up as long as nothing is committed,
+ * and as a voter it makes the quorum larger without answering.
  */
 class LostLearnerTest {
 
--- a/routing/src/main/java/org/bamboohatch/routing/quarantine/RequestQuarantine.java
+++ b/routing/src/main/java/org/bamboohatch/routing/quarantine/RequestQuarantine.java
@@ -299,8 +299,8 @@
     }
 
     /**
-     * Returns what is worth being recorded outside of the gateways: the crashes of traits that end targets or may turn out to
-     * with the next crash, without their other suspects, and what has cleared evidence that was recorded before.
+     * Returns what is worth being recorded outside of the gateways: the crashes of traits that end targets or may turn out
+     * to with the next crash, without their other suspects, and what has cleared evidence that was recorded before.
      *
      * @param recorded the evidence that was recorded before
      * @param now current time, in milliseconds
